--- /dev/null
+++ b/src/cli/serve.cpp
@@ -0,0 +1,130 @@
+#include "cli/serve.h"
+
+#include <malloc.h>
+#include <spdlog/spdlog.h>
+
+#include <condition_variable>
+#include <ctime>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "control/controller.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace lichendrift::cli {
+
+namespace {
+
+constexpr std::size_t kMostBody = 64 * 1024;
+constexpr std::size_t kMostPeerBody = 1024 * 1024;
+
+// The planner's own thread: trial placement never delays an answer by more than a turn.
+class PlannerThread {
+  public:
+    explicit PlannerThread(net::EventLoop& loop) : loop_(loop), thread_([this] { run(); }) {}
+    ~PlannerThread() {
+        {
+            std::scoped_lock lock(mutex_);
+            stop_ = true;
+        }
+        wake_.notify_one();
+        thread_.join();
+    }
+    void submit(std::function<core::Snapshot()> take, std::function<void(core::Plan)> done) {
+        {
+            std::scoped_lock lock(mutex_);
+            take_ = std::move(take);
+            done_ = std::move(done);
+        }
+        wake_.notify_one();
+    }
+
+  private:
+    void run() {
+        for (;;) {
+            std::function<core::Snapshot()> take;
+            std::function<void(core::Plan)> done;
+            {
+                std::unique_lock lock(mutex_);
+                wake_.wait(lock, [this] { return stop_ || take_; });
+                if (stop_) return;
+                take = std::exchange(take_, nullptr);
+                done = std::exchange(done_, nullptr);
+            }
+            auto plan = std::make_shared<core::Plan>(core::make_plan(take()));
+            loop_.post([plan, done = std::move(done)] { done(std::move(*plan)); });
+        }
+    }
+
+    net::EventLoop& loop_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::function<core::Snapshot()> take_;
+    std::function<void(core::Plan)> done_;
+    bool stop_ = false;
+    std::thread thread_;
+};
+
+class DaemonPort : public net::Port {
+  public:
+    DaemonPort(net::EventLoop& loop, net::HttpClient& client)
+        : loop_(loop), client_(client), planner_(loop), random_(std::random_device{}()) {}
+    net::Millis now() override { return loop_.now(); }
+    std::int64_t wall_ms() override {
+        timespec ts{};
+        ::clock_gettime(CLOCK_REALTIME, &ts);
+        return static_cast<std::int64_t>(ts.tv_sec) * 1000 + ts.tv_nsec / 1'000'000;
+    }
+    std::uint64_t random() override { return random_(); }
+    void call(const std::string& address, net::HttpRequest request, net::Millis deadline,
+              net::OnReply on_reply) override {
+        client_.call(address, request, deadline, std::move(on_reply));
+    }
+    net::TimerId after(net::Millis delay, std::function<void()> fn) override {
+        return loop_.after(delay, std::move(fn));
+    }
+    void cancel(net::TimerId id) override { loop_.cancel(id); }
+    void plan(std::function<core::Snapshot()> take, std::function<void(core::Plan)> done) override {
+        planner_.submit(std::move(take), std::move(done));
+    }
+
+  private:
+    net::EventLoop& loop_;
+    net::HttpClient& client_;
+    PlannerThread planner_;
+    std::mt19937_64 random_;
+};
+
+}  // namespace
+
+int serve(const control::Settings& settings) {
+    // One arena: two threads need no more, and memory is short.
+    ::mallopt(M_ARENA_MAX, 1);
+    net::EventLoop loop;
+    net::SocketBudget budget;
+    budget.most = settings.max_connections > 40 ? settings.max_connections - 20 : 20;
+    net::HttpClient client(loop, budget);
+    DaemonPort port(loop, client);
+    control::Controller controller(port, settings);
+    net::HttpServer users(loop, budget, kMostBody, budget.most * 7 / 10,
+                          [&](const net::HttpRequest& request, net::Respond respond) {
+                              controller.handle(request, std::move(respond));
+                          });
+    net::HttpServer peers(loop, budget, kMostPeerBody, budget.most / 10 + 4,
+                          [&](const net::HttpRequest& request, net::Respond respond) {
+                              controller.handle_peer(request, std::move(respond));
+                          });
+    std::string error;
+    if (!users.listen(settings.listen, error) || !peers.listen(settings.peer_bind, error)) {
+        spdlog::error("member={} cannot listen on {}", settings.member, error);
+        return 1;
+    }
+    controller.start();
+    loop.run();
+    return 0;
+}
+
+}  // namespace lichendrift::cli
--- /dev/null
+++ b/src/cloud/cloud_client.cpp
@@ -0,0 +1,91 @@
+#include "cloud/cloud_client.h"
+
+#include <algorithm>
+
+namespace lichendrift::cloud {
+
+namespace {
+
+constexpr Millis kTimeout = 4000;
+constexpr std::size_t kMostListed = 20'000;
+
+Answer answer_of(const net::HttpReply& reply) {
+    if (reply.status == 200) return Answer::Ok;
+    if (reply.status == 503 && wire::is_no_capacity(reply.body)) return Answer::NoCapacity;
+    return reply.status == 0 && reply.sent ? Answer::NoAnswer : Answer::Trouble;
+}
+
+}  // namespace
+
+CloudClient::CloudClient(net::Port& port, std::string address, double rps)
+    : port_(port), address_(std::move(address)), rps_(rps) {
+    filled_at_ = port_.now();
+}
+
+void CloudClient::call(net::HttpRequest request, Millis deadline, net::OnReply done) {
+    const auto now = port_.now();
+    const double rate = share_ * rps_;
+    tokens_ = std::min(tokens_ + rate * static_cast<double>(now - filled_at_) / 1000.0,
+                       std::max(2.0, rate * 1.5));
+    filled_at_ = now;
+    if (tokens_ < 1) {
+        port_.after(0, [done = std::move(done)] { done({0, {}, false}); });
+        return;
+    }
+    tokens_ -= 1;
+    port_.call(address_, std::move(request), deadline, std::move(done));
+}
+
+void CloudClient::types(OnTypes done) {
+    call({"GET", "/flavors", ""}, kTimeout, [done = std::move(done)](net::HttpReply reply) {
+        if (answer_of(reply) != Answer::Ok) return done(answer_of(reply), {});
+        auto types = wire::parse_types(reply.body);
+        if (!types) return done(Answer::Trouble, {});
+        done(Answer::Ok, std::move(*types));
+    });
+}
+
+void CloudClient::rent(const std::string& request, const std::string& type, const std::string& zone,
+                       bool spot, std::uint32_t number, OnRented done) {
+    call({"POST", "/rentals", wire::rental_body(request, type, zone, spot, number)}, kTimeout,
+         [done = std::move(done)](net::HttpReply reply) {
+             if (answer_of(reply) != Answer::Ok) return done(answer_of(reply), {});
+             auto names = wire::parse_rented(reply.body);
+             if (!names) return done(Answer::NoAnswer, {});
+             done(Answer::Ok, std::move(*names));
+         });
+}
+
+void CloudClient::give_back(const std::vector<std::string>& names, OnDone done) {
+    call({"POST", "/rentals/return", wire::return_body(names)}, kTimeout,
+         [done = std::move(done)](const net::HttpReply& reply) { done(answer_of(reply)); });
+}
+
+void CloudClient::list(OnListing done) { list_from("", {}, std::move(done)); }
+
+void CloudClient::list_from(const std::string& since, std::vector<core::ListedMachine> so_far,
+                            OnListing done) {
+    std::string target = "/rentals?limit=500";
+    if (!since.empty()) target += "&since=" + since;
+    call({"GET", std::move(target), ""}, kTimeout,
+         [this, so_far = std::move(so_far), done = std::move(done), since,
+          alive = std::weak_ptr<bool>(alive_)](net::HttpReply reply) mutable {
+             if (alive.expired()) return;
+             auto page =
+                 answer_of(reply) == Answer::Ok ? wire::parse_listing(reply.body) : std::nullopt;
+             if (!page) return done(Answer::Trouble, std::move(so_far), {});
+             const bool go_on = page->more && !page->machines.empty() &&
+                                page->machines.back().name > since && so_far.size() < kMostListed;
+             for (auto& m : page->machines) so_far.push_back(std::move(m));
+             if (go_on) {
+                 const auto next = so_far.back().name;
+                 list_from(next, std::move(so_far), std::move(done));
+                 return;
+             }
+             std::set<std::string> names;
+             for (const auto& m : so_far) names.insert(m.name);
+             done(Answer::Ok, std::move(so_far), std::move(names));
+         });
+}
+
+}  // namespace lichendrift::cloud
--- /dev/null
+++ b/src/cloud/cloud_client.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "net/port.h"
+#include "wire/json_messages.h"
+
+namespace lichendrift::cloud {
+
+using core::Millis;
+
+enum class Answer : std::uint8_t { Ok, NoCapacity, Trouble, NoAnswer };
+
+// Client of the cloud: paced, every request with a deadline. Calls beyond the pace are refused
+// with Trouble; the caller's next round asks again.
+class CloudClient {
+  public:
+    CloudClient(net::Port& port, std::string address, double rps);
+
+    void set_share(double share) { share_ = share; }
+
+    using OnTypes = std::function<void(Answer, std::vector<core::MachineType>)>;
+    using OnRented = std::function<void(Answer, std::vector<std::string>)>;
+    using OnDone = std::function<void(Answer)>;
+    using OnListing =
+        std::function<void(Answer, std::vector<core::ListedMachine>, std::set<std::string>)>;
+
+    void types(OnTypes done);
+    void rent(const std::string& request, const std::string& type, const std::string& zone,
+              bool spot, std::uint32_t number, OnRented done);
+    void give_back(const std::vector<std::string>& names, OnDone done);
+    // Reads all pages; the answer is Ok only if every page came.
+    void list(OnListing done);
+
+  private:
+    void call(net::HttpRequest request, Millis deadline, net::OnReply done);
+    void list_from(const std::string& since, std::vector<core::ListedMachine> so_far,
+                   OnListing done);
+    net::Port& port_;
+    std::string address_;
+    double rps_;
+    double share_ = 0.15;
+    double tokens_ = 2;
+    Millis filled_at_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace lichendrift::cloud
--- /dev/null
+++ b/src/control/controller.cpp
@@ -0,0 +1,350 @@
+#include "control/controller.h"
+
+#include <spdlog/spdlog.h>
+
+namespace lichendrift::control {
+
+namespace {
+
+constexpr Millis kGrant = 3000;
+constexpr Millis kRenew = 800;
+// The grant is counted from when its renewal was sent; drift and rounding are taken off.
+constexpr Millis kGrantMargin = 150;
+constexpr Millis kForwardDeadline = 2500;
+constexpr int kMostForwards = 300;
+constexpr double kLeaderShare = 0.5;
+constexpr double kOtherShare = 0.2;
+
+store::StoreSettings store_settings(const Settings& s) {
+    return {s.state, s.state_rps, s.state_write_rps, s.state_txn_ops,
+            static_cast<std::size_t>(s.state_value_kb * 1024)};
+}
+
+double other_share(const Settings& s) {
+    return s.size <= 1
+               ? kLeaderShare
+               : std::min(kOtherShare, (0.92 - kLeaderShare) / static_cast<double>(s.size - 1));
+}
+
+}  // namespace
+
+Controller::Controller(net::Port& port, Settings settings)
+    : port_(port),
+      settings_(std::move(settings)),
+      store_(port, store_settings(settings_)),
+      cloud_(port, settings_.cloud, settings_.cloud_rps),
+      feed_(port, store_),
+      users_(port, settings_, store_, feed_) {
+    store_.set_share(other_share(settings_));
+}
+
+Controller::~Controller() {
+    if (leader_) leader_->stop();
+}
+
+void Controller::start() {
+    log_info("started");
+    feed_.start();
+    look();
+    fetch_types();
+}
+
+std::string Controller::prefix() const {
+    return fmt::format("member={} role={} token={}", settings_.member,
+                       leader_ ? (leader_->ready() ? "leader" : "taking-over") : "follower",
+                       leader_ ? leader_->token() : known_.token);
+}
+
+void Controller::log_info(const std::string& text) {
+    if (spdlog::should_log(spdlog::level::info)) spdlog::info("{} {}", prefix(), text);
+}
+
+void Controller::log_debug(const std::string& text) {
+    if (spdlog::should_log(spdlog::level::debug)) spdlog::debug("{} {}", prefix(), text);
+}
+
+// ---- election ----
+
+void Controller::look() {
+    const auto number = ++election_;
+    store_.get(store::Lane::Leadership, "leader",
+               [this, number](store::Outcome outcome, const wire::Item& item) {
+                   if (number == election_ && !leader_ && !campaigning_) looked(outcome, item);
+               });
+}
+
+void Controller::looked(store::Outcome outcome, const wire::Item& item) {
+    if (outcome == store::Outcome::Missing) return campaign_soon(0, 0);
+    auto mark = outcome == store::Outcome::Ok ? wire::parse_leader_value(item.value) : std::nullopt;
+    if (!mark) {
+        const auto number = election_;
+        port_.after(300 + static_cast<Millis>(port_.random() % 200), [this, number] {
+            if (number == election_ && !leader_) look();
+        });
+        return;
+    }
+    known_ = {mark->member, mark->token, item.rev};
+    highest_token_ = std::max(highest_token_, mark->token);
+    // Our own mark from before a restart: nobody else acts under it, so it need not run out.
+    if (mark->member == settings_.member) return campaign_soon(0, item.rev);
+    log_info("leader is " + mark->member);
+    watch_leader(item.rev);
+}
+
+void Controller::watch_leader(std::uint64_t since) {
+    const auto number = election_;
+    store_.watch(store::Lane::Leadership, "leader", since, 10000,
+                 [this, number, since](store::Outcome outcome, const wire::ItemPage& page) {
+                     if (number != election_ || leader_) return;
+                     if (outcome != store::Outcome::Ok) return looked(store::Outcome::Unknown, {});
+                     bool gone = false;
+                     auto next = std::max(since, page.revision);
+                     for (const auto& item : page.items) {
+                         if (item.key != "leader") continue;
+                         gone = item.value.empty();
+                         if (auto mark = wire::parse_leader_value(item.value); !gone && mark) {
+                             known_ = {mark->member, mark->token, item.rev};
+                             highest_token_ = std::max(highest_token_, mark->token);
+                             log_info("leader is " + mark->member);
+                         }
+                     }
+                     if (gone) return campaign_soon(0, 0);
+                     watch_leader(next);
+                 });
+}
+
+void Controller::campaign_soon(Millis least, std::uint64_t leader_rev) {
+    const auto number = ++election_;
+    // A random wait keeps the nodes from standing at the same moment again and again.
+    const auto wait = least + static_cast<Millis>(port_.random() % 120);
+    port_.after(wait, [this, number, leader_rev] {
+        if (number == election_ && !leader_ && !campaigning_) campaign(leader_rev);
+    });
+}
+
+void Controller::campaign(std::uint64_t leader_rev) {
+    campaigning_ = true;
+    store_.get(store::Lane::Leadership, "token",
+               [this, leader_rev](store::Outcome outcome, const wire::Item& item) {
+                   std::uint64_t token = 0;
+                   if (outcome == store::Outcome::Ok) {
+                       auto mark = wire::parse_leader_value(item.value);
+                       if (!mark) outcome = store::Outcome::Unknown;
+                       if (mark) token = mark->token;
+                   }
+                   if (outcome != store::Outcome::Ok && outcome != store::Outcome::Missing) {
+                       campaigning_ = false;
+                       return looked(store::Outcome::Unknown, {});
+                   }
+                   const auto rev = outcome == store::Outcome::Ok ? item.rev : 0;
+                   store_.grant(
+                       kGrant, [this, leader_rev, token, rev](store::Outcome granted,
+                                                              std::uint64_t grant, Millis sent) {
+                           if (granted != store::Outcome::Ok) {
+                               campaigning_ = false;
+                               return looked(store::Outcome::Unknown, {});
+                           }
+                           stand(grant, sent, leader_rev, std::max(token, highest_token_) + 1, rev);
+                       });
+               });
+}
+
+void Controller::stand(std::uint64_t grant, Millis sent, std::uint64_t leader_rev,
+                       std::uint64_t token, std::uint64_t token_rev) {
+    const auto mark = wire::leader_value({settings_.member, token});
+    store_.txn(store::Lane::Leadership, {{"leader", leader_rev}, {"token", token_rev}},
+               {{"leader", mark, grant}, {"token", mark, 0}},
+               [this, grant, sent, token](const store::TxnResult& result) {
+                   if (result.outcome == store::Outcome::Ok) {
+                       campaigning_ = false;
+                       return won(token, result.revision, grant, sent);
+                   }
+                   // In doubt it is left to run out: taking it up again would need care that a
+                   // rare case does not earn. The mark is ours, so look() replaces it at once.
+                   store_.drop_grant(grant);
+                   campaigning_ = false;
+                   const auto number = ++election_;
+                   port_.after(50 + static_cast<Millis>(port_.random() % 150), [this, number] {
+                       if (number == election_ && !leader_) look();
+                   });
+               });
+}
+
+void Controller::won(std::uint64_t token, std::uint64_t rev, std::uint64_t grant, Millis sent) {
+    ++election_;
+    grant_ = grant;
+    known_ = {settings_.member, token, rev};
+    highest_token_ = std::max(highest_token_, token);
+    store_.set_share(kLeaderShare);
+    cloud_.set_share(0.8);
+    valid_until_ = sent + kGrant - kGrantMargin;
+    leader_ = std::make_shared<Leader>(port_, settings_, store_, cloud_, feed_,
+                                       static_cast<LeaderHost&>(*this), token, rev);
+    log_info("won the election");
+    leader_->start(users_.types());
+    announce({});
+    renew();
+}
+
+void Controller::renew() {
+    const auto number = election_;
+    port_.after(kRenew, [this, number] {
+        if (number != election_ || !leader_) return;
+        renew();
+        if (renewing_) return;
+        renewing_ = true;
+        store_.touch(grant_, [this, number](store::Outcome outcome, std::uint64_t, Millis sent) {
+            renewing_ = false;
+            if (number != election_ || !leader_) return;
+            if (outcome == store::Outcome::Ok) return extend(sent);
+            if (outcome == store::Outcome::Missing) step_down("the grant has run out");
+        });
+    });
+}
+
+void Controller::extend(Millis sent) {
+    const bool was = may_start();
+    valid_until_ = std::max(valid_until_, sent + kGrant - kGrantMargin);
+    if (!was) log_info("grant renewed, starts go on");
+}
+
+bool Controller::may_start() { return leader_ && port_.now() < valid_until_; }
+
+void Controller::step_down(const std::string& reason) {
+    if (!leader_) return;
+    log_info("steps down: " + reason);
+    leader_->stop();
+    // The leader may be the caller: it must live until its own call is over.
+    port_.after(0, [old = std::move(leader_)] {});
+    leader_.reset();
+    store_.drop_grant(grant_);
+    store_.set_share(other_share(settings_));
+    cloud_.set_share(0.1);
+    known_ = {};
+    look();
+}
+
+// ---- beats ----
+
+void Controller::handle(const net::HttpRequest& request, net::Respond respond) {
+    const std::string_view target =
+        std::string_view(request.target).substr(0, request.target.find('?'));
+    if (target == "/healthz") {
+        if (request.method != "GET") return respond({405, wire::error_body("use GET")});
+        if (!feed_.loaded() && users_.refused() == 0 && !store_.responsive()) {
+            return respond({503, wire::error_body("not ready")});
+        }
+        return respond({200, "{}"});
+    }
+    if (target == "/agent/beat") {
+        if (request.method != "POST") return respond({405, wire::error_body("use POST")});
+        return beat(request.body, std::move(respond));
+    }
+    users_.handle(request, std::move(respond));
+}
+
+void Controller::beat(const std::string& body, net::Respond respond) {
+    auto report = wire::parse_report(body);
+    if (!report) {
+        ++bad_messages_;
+        return respond({400, wire::error_body("malformed report")});
+    }
+    highest_token_ = std::max(highest_token_, report->token);
+    if (!leader_) return forward(*report, std::move(respond));
+    auto answer = leader_->beat(*report);
+    if (!answer) return respond({503, wire::error_body("not the leader"), 1});
+    respond({200, wire::orders_body(answer->token, answer->orders)});
+}
+
+const Sibling* Controller::sibling(const std::string& member) const {
+    for (const auto& s : settings_.siblings) {
+        if (s.member == member) return &s;
+    }
+    return nullptr;
+}
+
+void Controller::forward(const core::Report& report, net::Respond respond) {
+    const auto* leader = sibling(known_.member);
+    if (leader == nullptr || forwarding_ >= kMostForwards) {
+        return respond({503, wire::error_body("no leader is known"), 1});
+    }
+    ++forwarding_;
+    const auto token = report.token;
+    port_.call(
+        leader->address, {"POST", "/peer/beat", wire::encode_report(report)}, kForwardDeadline,
+        [this, token, respond = std::move(respond)](const net::HttpReply& reply) {
+            --forwarding_;
+            auto answer = reply.status == 200 ? wire::decode_beat_answer(reply.body) : std::nullopt;
+            // An answer with a lower token would be dropped and keep the worker here.
+            if (!answer || answer->token < token) {
+                return respond({503, wire::error_body("no leader answers"), 1});
+            }
+            respond({200, wire::orders_body(answer->token, answer->orders)});
+        });
+}
+
+void Controller::handle_peer(const net::HttpRequest& request, net::Respond respond) {
+    if (request.method != "POST") return respond({405, "", 0, false, true});
+    if (request.target == "/peer/beat") {
+        auto report = wire::decode_report(request.body);
+        if (!report) {
+            ++bad_messages_;
+            return respond({400, "", 0, false, true});
+        }
+        if (!leader_) return respond({503, "", 0, false, true});
+        auto answer = leader_->beat(*report);
+        if (!answer) return respond({503, "", 0, false, true});
+        return respond({200, wire::encode_beat_answer(*answer), 0, false, true});
+    }
+    if (request.target == "/peer/leader") {
+        auto word = wire::decode_announcement(request.body);
+        if (!word) {
+            ++bad_messages_;
+            return respond({400, "", 0, false, true});
+        }
+        highest_token_ = std::max(highest_token_, word->token);
+        if (leader_ && word->token > leader_->token()) step_down("a higher token is announced");
+        if (!leader_ && word->token >= known_.token) {
+            known_.member = word->member;
+            known_.token = word->token;
+            users_.set_counts(word->counts);
+        }
+        return respond({200, "", 0, false, true});
+    }
+    respond({404, "", 0, false, true});
+}
+
+void Controller::announce(const std::vector<wire::JobCounts>& counts) {
+    if (!leader_) return;
+    announced_at_ = port_.now();
+    const auto body = wire::encode_announcement({settings_.member, leader_->token(), counts});
+    for (const auto& s : settings_.siblings) {
+        port_.call(s.address, {"POST", "/peer/leader", body}, 1500, [](const net::HttpReply&) {});
+    }
+}
+
+void Controller::counts_found(std::vector<wire::JobCounts> counts) {
+    users_.set_counts(counts);
+    announce(counts);
+}
+
+void Controller::types_found(const std::vector<core::MachineType>& types) {
+    users_.set_types(types);
+}
+
+void Controller::fetch_types() {
+    if (asking_types_) return;
+    asking_types_ = true;
+    cloud_.types([this](cloud::Answer answer, std::vector<core::MachineType> types) {
+        asking_types_ = false;
+        if (answer == cloud::Answer::Ok && !types.empty()) {
+            users_.set_types(std::move(types));
+            return;
+        }
+        port_.after(1000 + static_cast<Millis>(port_.random() % 1000), [this] {
+            if (!users_.types_known()) fetch_types();
+        });
+    });
+}
+
+}  // namespace lichendrift::control
--- /dev/null
+++ b/src/control/controller.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <memory>
+
+#include "control/leader.h"
+#include "control/user_api.h"
+
+namespace lichendrift::control {
+
+// One controller node: election, the users' interface, beats and the link to its siblings.
+// Everything it does to the world goes through the port.
+class Controller : private LeaderHost {
+  public:
+    Controller(net::Port& port, Settings settings);
+    ~Controller() override;
+
+    void start();
+    // Requests of users, workers and health checks.
+    void handle(const net::HttpRequest& request, net::Respond respond);
+    // Requests of the other controllers.
+    void handle_peer(const net::HttpRequest& request, net::Respond respond);
+
+    [[nodiscard]] bool leading() const { return leader_ != nullptr; }
+    [[nodiscard]] std::uint64_t token() const { return leader_ ? leader_->token() : 0; }
+
+  private:
+    struct Known {  // the leader as far as known
+        std::string member;
+        std::uint64_t token = 0;
+        std::uint64_t rev = 0;
+    };
+
+    // Election.
+    void look();
+    void looked(store::Outcome outcome, const wire::Item& item);
+    void watch_leader(std::uint64_t since);
+    void campaign_soon(Millis least, std::uint64_t leader_rev);
+    void campaign(std::uint64_t leader_rev);
+    void stand(std::uint64_t grant, Millis sent, std::uint64_t leader_rev, std::uint64_t token,
+               std::uint64_t token_rev);
+    void won(std::uint64_t token, std::uint64_t rev, std::uint64_t grant, Millis sent);
+    void renew();
+    void extend(Millis sent);
+
+    // LeaderHost.
+    bool may_start() override;
+    void step_down(const std::string& reason) override;
+    void log_info(const std::string& text) override;
+    void log_debug(const std::string& text) override;
+    void types_found(const std::vector<core::MachineType>& types) override;
+    void counts_found(std::vector<wire::JobCounts> counts) override;
+
+    void beat(const std::string& body, net::Respond respond);
+    void forward(const core::Report& report, net::Respond respond);
+    void fetch_types();
+    void announce(const std::vector<wire::JobCounts>& counts);
+    [[nodiscard]] const Sibling* sibling(const std::string& member) const;
+    [[nodiscard]] std::string prefix() const;
+
+    net::Port& port_;
+    Settings settings_;
+    store::StoreClient store_;
+    cloud::CloudClient cloud_;
+    Feed feed_;
+    UserApi users_;
+    std::shared_ptr<Leader> leader_;
+    std::uint64_t grant_ = 0;
+    Millis valid_until_ = 0;
+    bool campaigning_ = false;
+    bool renewing_ = false;
+    std::uint64_t election_ = 0;  // number of the current wait; older timers and watches end
+    Known known_;
+    std::uint64_t highest_token_ = 0;
+    Millis announced_at_ = 0;
+    int forwarding_ = 0;
+    std::uint64_t bad_messages_ = 0;
+    bool asking_types_ = false;
+};
+
+}  // namespace lichendrift::control
--- /dev/null
+++ b/src/control/feed.cpp
@@ -0,0 +1,240 @@
+#include "control/feed.h"
+
+namespace lichendrift::control {
+
+namespace {
+
+constexpr std::string_view kOpen = "open/";
+constexpr std::string_view kOver = "over/";
+constexpr std::size_t kMostFinals = 20'000;
+constexpr std::size_t kMostWaiting = 500;
+constexpr Millis kAskSpacing = 120;  // polls that come closer share one read
+
+}  // namespace
+
+Feed::Feed(net::Port& port, store::StoreClient& store) : port_(port), store_(store) {}
+
+void Feed::start() {
+    load("", {}, 0);
+    keep_up();
+}
+
+void Feed::keep_up() {
+    // Without users the copy would fall behind what the state service keeps of changes.
+    port_.after(3000, [this] {
+        if (loaded_ && !asking_ && waiting_.empty() && port_.now() - asked_at_ > 2500) {
+            barrier([](bool) {});
+        }
+        keep_up();
+    });
+}
+
+void Feed::load(const std::string& since, std::map<std::string, Open> so_far,
+                std::uint64_t revision) {
+    loading_ = true;
+    store_.list(store::Lane::Place, std::string(kOpen), since,
+                [this, so_far = std::move(so_far), revision](store::Outcome outcome,
+                                                             wire::ItemPage page) mutable {
+                    if (outcome != store::Outcome::Ok) {
+                        port_.after(400 + static_cast<Millis>(port_.random() % 400),
+                                    [this] { load("", {}, 0); });
+                        return;
+                    }
+                    // Changes since the first page are read again by the watch.
+                    if (revision == 0) revision = page.revision;
+                    std::string last;
+                    for (auto& item : page.items) {
+                        last = item.key;
+                        const auto id = item.key.substr(kOpen.size());
+                        if (auto text = wire::parse_job_value(id, item.value)) {
+                            so_far[id] = {std::move(*text), item.rev};
+                        }
+                    }
+                    if (page.more && !last.empty()) {
+                        load(last, std::move(so_far), revision);
+                        return;
+                    }
+                    loaded_at(std::move(so_far), revision);
+                });
+}
+
+void Feed::loaded_at(std::map<std::string, Open> jobs, std::uint64_t revision) {
+    const auto before = std::move(open_);
+    open_ = std::move(jobs);
+    revision_ = revision;
+    loaded_ = true;
+    loading_ = false;
+    if (listener_) {
+        for (const auto& [id, job] : open_) listener_->on_open(job.text, job.rev);
+        for (const auto& [id, job] : before) {
+            // Which final word it was is read when somebody asks; its tasks end either way.
+            if (!open_.contains(id)) listener_->on_over(id, true);
+        }
+    }
+    ask();
+}
+
+const Feed::Open* Feed::open(const std::string& id) const {
+    auto it = open_.find(id);
+    return it == open_.end() ? nullptr : &it->second;
+}
+
+std::optional<bool> Feed::final_word(const std::string& id) const {
+    auto it = finals_.find(id);
+    if (it == finals_.end()) return std::nullopt;
+    return it->second;
+}
+
+void Feed::remember_final(const std::string& id, bool aborted) {
+    if (!finals_.emplace(id, aborted).second) return;
+    final_order_.push_back(id);
+    if (final_order_.size() > kMostFinals) {
+        finals_.erase(final_order_.front());
+        final_order_.pop_front();
+    }
+}
+
+void Feed::wrote_open(const core::JobText& text, std::uint64_t rev) {
+    // The watch may have told of this, and of what came after, already.
+    if (rev <= revision_ || finals_.contains(text.id)) return;
+    open_[text.id] = {text, rev};
+    if (listener_) listener_->on_open(text, rev);
+}
+
+void Feed::wrote_final(const std::string& id, bool aborted) {
+    remember_final(id, aborted);
+    open_.erase(id);
+    if (listener_) listener_->on_over(id, aborted);
+}
+
+void Feed::apply(const wire::ItemPage& page) {
+    for (const auto& item : page.items) {
+        if (item.rev <= revision_) continue;
+        if (item.key.starts_with(kOpen)) {
+            const auto id = item.key.substr(kOpen.size());
+            if (item.value.empty()) {
+                open_.erase(id);
+                continue;
+            }
+            // An answer of the state service can come after news of what followed it.
+            if (finals_.contains(id)) continue;
+            if (auto text = wire::parse_job_value(id, item.value)) {
+                if (listener_) listener_->on_open(*text, item.rev);
+                open_[id] = {std::move(*text), item.rev};
+            }
+        } else if (item.key.starts_with(kOver) && !item.value.empty()) {
+            const auto id = item.key.substr(kOver.size());
+            if (auto over = wire::parse_over_value(id, item.value)) {
+                remember_final(id, over->aborted);
+                open_.erase(id);
+                if (listener_) listener_->on_over(id, over->aborted);
+            }
+        }
+    }
+    revision_ = std::max(revision_, page.revision);
+}
+
+void Feed::barrier(std::function<void(bool)> done) {
+    if (!store_.responsive() || waiting_.size() >= kMostWaiting) {
+        port_.after(0, [done = std::move(done)] { done(false); });
+        return;
+    }
+    waiting_.push_back(std::move(done));
+    ask();
+}
+
+void Feed::ask() {
+    if (!loaded_ || asking_ || ask_timer_ || waiting_.empty()) {
+        if (!loaded_ && !waiting_.empty()) answer(std::move(waiting_), false);
+        return;
+    }
+    const auto now = port_.now();
+    if (now - asked_at_ < kAskSpacing) {
+        ask_timer_ = true;
+        port_.after(kAskSpacing - (now - asked_at_), [this] {
+            ask_timer_ = false;
+            ask();
+        });
+        return;
+    }
+    issue();
+}
+
+void Feed::issue() {
+    asking_ = true;
+    asked_at_ = port_.now();
+    auto waiting = std::move(waiting_);
+    waiting_.clear();
+    store_.watch(store::Lane::Read, "o", revision_, 0,
+                 [this, waiting = std::move(waiting)](store::Outcome outcome,
+                                                      const wire::ItemPage& page) mutable {
+                     asking_ = false;
+                     if (outcome == store::Outcome::Ok) {
+                         apply(page);
+                     } else if (outcome == store::Outcome::Missing && !loading_) {
+                         loaded_ = false;
+                         load("", {}, 0);
+                     }
+                     answer(std::move(waiting), outcome == store::Outcome::Ok);
+                     ask();
+                 });
+}
+
+void Feed::answer(std::vector<std::function<void(bool)>> waiting, bool ok) {
+    for (auto& done : waiting) done(ok);
+}
+
+void Feed::lookup_final(const std::string& id,
+                        std::function<void(store::Outcome, std::optional<bool>)> done) {
+    auto [it, fresh] = lookups_.try_emplace(id);
+    it->second.push_back(std::move(done));
+    if (!fresh) return;
+    store_.get(store::Lane::Read, std::string(kOver) + id,
+               [this, id](store::Outcome outcome, const wire::Item& item) {
+                   std::optional<bool> word;
+                   if (outcome == store::Outcome::Ok) {
+                       if (auto over = wire::parse_over_value(id, item.value)) {
+                           word = over->aborted;
+                           remember_final(id, over->aborted);
+                       } else {
+                           outcome = store::Outcome::Unknown;
+                       }
+                   }
+                   auto node = lookups_.extract(id);
+                   for (auto& waiting : node.mapped()) waiting(outcome, word);
+               });
+}
+
+void Feed::follow(Listener listener) {
+    listener_ = std::move(listener);
+    ++follow_number_;
+    long_watch();
+}
+
+void Feed::unfollow() {
+    listener_.reset();
+    ++follow_number_;
+}
+
+void Feed::long_watch() {
+    const auto number = follow_number_;
+    store_.watch(store::Lane::Place, "o", revision_, 8000,
+                 [this, number](store::Outcome outcome, const wire::ItemPage& page) {
+                     if (number != follow_number_) return;
+                     Millis pause = 60;
+                     if (outcome == store::Outcome::Ok) {
+                         apply(page);
+                     } else {
+                         pause = 400;
+                         if (outcome == store::Outcome::Missing && !loading_) {
+                             loaded_ = false;
+                             load("", {}, 0);
+                         }
+                     }
+                     port_.after(pause, [this, number] {
+                         if (number == follow_number_) long_watch();
+                     });
+                 });
+}
+
+}  // namespace lichendrift::control
--- /dev/null
+++ b/src/control/feed.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "net/port.h"
+#include "store/store_client.h"
+
+namespace lichendrift::control {
+
+using core::Millis;
+
+// This node's copy of the open jobs and of final words. The copy may be old; barrier() brings it
+// up to a moment after its call, so that no user gets an answer older than one given before.
+class Feed {
+  public:
+    struct Open {
+        core::JobText text;
+        std::uint64_t rev = 0;
+    };
+    struct Listener {
+        std::function<void(const core::JobText&, std::uint64_t)> on_open;
+        std::function<void(const std::string&, bool aborted)> on_over;
+    };
+
+    Feed(net::Port& port, store::StoreClient& store);
+    void start();
+
+    // Calls back with true once everything that the state service had applied at the time of the
+    // call is known here, with false if that can't be had soon.
+    void barrier(std::function<void(bool)> done);
+    [[nodiscard]] bool loaded() const { return loaded_; }
+    [[nodiscard]] const Open* open(const std::string& id) const;
+    [[nodiscard]] std::optional<bool> final_word(const std::string& id) const;  // aborted?
+    [[nodiscard]] const std::map<std::string, Open>& all_open() const { return open_; }
+
+    // What this node wrote itself, known before the watch tells.
+    void wrote_open(const core::JobText& text, std::uint64_t rev);
+    void wrote_final(const std::string& id, bool aborted);
+
+    // Reads the final word of a job that is not open from the state service.
+    void lookup_final(const std::string& id,
+                      std::function<void(store::Outcome, std::optional<bool>)> done);
+
+    // The leader follows every change at once; the others ask when a user does.
+    void follow(Listener listener);
+    void unfollow();
+
+  private:
+    void load(const std::string& since, std::map<std::string, Open> so_far, std::uint64_t revision);
+    void loaded_at(std::map<std::string, Open> jobs, std::uint64_t revision);
+    void apply(const wire::ItemPage& page);
+    void ask();
+    void issue();
+    void answer(std::vector<std::function<void(bool)>> waiting, bool ok);
+    void long_watch();
+    void keep_up();
+    void remember_final(const std::string& id, bool aborted);
+
+    net::Port& port_;
+    store::StoreClient& store_;
+    bool loaded_ = false;
+    bool loading_ = false;
+    std::uint64_t revision_ = 0;
+    std::map<std::string, Open> open_;
+    std::unordered_map<std::string, bool> finals_;
+    std::deque<std::string> final_order_;
+    std::vector<std::function<void(bool)>> waiting_;
+    bool asking_ = false;
+    bool ask_timer_ = false;
+    Millis asked_at_ = -100000;
+    std::optional<Listener> listener_;
+    std::uint64_t follow_number_ = 0;
+    std::unordered_map<std::string,
+                       std::vector<std::function<void(store::Outcome, std::optional<bool>)>>>
+        lookups_;
+};
+
+}  // namespace lichendrift::control
--- /dev/null
+++ b/src/control/leader.cpp
@@ -0,0 +1,567 @@
+#include "control/leader.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lichendrift::control {
+
+namespace {
+
+constexpr Millis kTick = 250;
+constexpr Millis kPlanSpacing = 60;
+constexpr Millis kDirectDeadline = 1500;
+constexpr Millis kDirectPause = 3000;
+constexpr std::size_t kMostDirect = 24;
+constexpr std::size_t kRecordBytes = 40'000;
+
+}  // namespace
+
+Leader::Leader(net::Port& port, const Settings& settings, store::StoreClient& store,
+               cloud::CloudClient& cloud, Feed& feed, LeaderHost& host, std::uint64_t token,
+               std::uint64_t leader_rev)
+    : port_(port),
+      settings_(settings),
+      store_(store),
+      cloud_(cloud),
+      feed_(feed),
+      host_(host),
+      token_(token),
+      leader_rev_(leader_rev) {
+    core::ClusterSettings cs;
+    cs.teams = settings.teams;
+    cs.token = token;
+    cs.report_ms = static_cast<Millis>(settings.report_s * 1000);
+    cs.lease_ms = static_cast<Millis>(settings.lease_s * 1000);
+    cs.cancel_ms = static_cast<Millis>(settings.cancel_s * 1000);
+    cs.gang_peer_s = settings.gang_peer_s;
+    // A placed task takes about 50 bytes of its record; the margin is for long machine names.
+    cs.chunk_tasks = std::max(8U, static_cast<std::uint32_t>(settings.state_value_kb * 1024 / 80));
+    for (const auto& zone : settings.zones) shared_->zones.intern(zone);
+    shared_->cluster = std::make_unique<core::Cluster>(cs, shared_->types, shared_->zones);
+}
+
+void Leader::start(const std::vector<core::MachineType>& known_types) {
+    if (!known_types.empty()) {
+        with([&](core::Cluster& c) { c.set_types(known_types); });
+        types_known_ = true;
+    }
+    load_jobs();
+}
+
+void Leader::stop() {
+    stopped_ = true;
+    feed_.unfollow();
+}
+
+void Leader::load_jobs() {
+    feed_.barrier([self = shared_from_this()](bool ok) {
+        if (self->stopped_) return;
+        if (!ok) {
+            self->port_.after(200, [self] {
+                if (!self->stopped_) self->load_jobs();
+            });
+            return;
+        }
+        const auto now = self->port_.now();
+        self->with([&](core::Cluster& c) {
+            for (const auto& [id, job] : self->feed_.all_open()) c.add_job(job.text, job.rev, now);
+        });
+        self->feed_.follow(
+            {[self](const core::JobText& text, std::uint64_t rev) {
+                 if (self->stopped_) return;
+                 self->with([&](core::Cluster& c) { c.add_job(text, rev, self->port_.now()); });
+                 self->changed();
+             },
+             [self](const std::string& id, bool aborted) {
+                 if (self->stopped_) return;
+                 self->with([&](core::Cluster& c) { c.job_over(id, aborted, self->port_.now()); });
+                 self->changed();
+             }});
+        self->load_places("");
+    });
+}
+
+void Leader::load_places(const std::string& since) {
+    store_.list(
+        store::Lane::Leadership, "place/", since,
+        [self = shared_from_this(), since](store::Outcome outcome, wire::ItemPage page) {
+            if (self->stopped_) return;
+            if (outcome != store::Outcome::Ok) {
+                self->port_.after(200, [self, since] {
+                    if (!self->stopped_) self->load_places(since);
+                });
+                return;
+            }
+            std::string last;
+            for (const auto& item : page.items) {
+                last = item.key;
+                const auto slash = item.key.rfind('/');
+                Place place;
+                place.job = item.key.substr(6, slash - 6);
+                const char* end = item.key.data() + item.key.size();
+                const auto number = std::from_chars(item.key.data() + slash + 1, end, place.chunk);
+                auto record = wire::parse_place_value(item.value);
+                if (!record || number.ptr != end) {
+                    self->host_.log_info("record " + item.key + " is not readable");
+                    continue;
+                }
+                place.record = std::move(*record);
+                place.rev = item.rev;
+                self->places_.push_back(std::move(place));
+            }
+            if (page.more && !last.empty()) return self->load_places(last);
+            for (const auto& place : self->places_) {
+                const bool known =
+                    self->with([&](core::Cluster& c) { return c.has_job(place.job); });
+                if (!known && (self->closed_.empty() || self->closed_.back() != place.job)) {
+                    self->closed_.push_back(place.job);
+                }
+            }
+            self->load_over(0);
+        });
+}
+
+void Leader::load_over(std::size_t at) {
+    if (at >= closed_.size()) return loaded();
+    const auto id = closed_[at];
+    store_.get(store::Lane::Leadership, "over/" + id,
+               [self = shared_from_this(), id, at](store::Outcome outcome, const wire::Item& item) {
+                   if (self->stopped_) return;
+                   if (outcome == store::Outcome::Ok) {
+                       auto over = wire::parse_over_value(id, item.value);
+                       if (over && over->job) {
+                           self->with([&](core::Cluster& c) {
+                               c.add_job(*over->job, 0, self->port_.now(), true);
+                           });
+                       }
+                   } else if (outcome != store::Outcome::Missing) {
+                       self->port_.after(200, [self, at] {
+                           if (!self->stopped_) self->load_over(at);
+                       });
+                       return;
+                   }
+                   self->load_over(at + 1);
+               });
+}
+
+void Leader::loaded() {
+    const auto now = port_.now();
+    with([&](core::Cluster& c) {
+        for (const auto& place : places_) {
+            if (c.has_job(place.job)) {
+                c.load_record(place.job, place.chunk, place.record, place.rev, now);
+            } else {
+                // All its tasks are done, or it was never accepted: nothing can be on a machine.
+                c.add_orphan("place/" + place.job + "/" + std::to_string(place.chunk));
+            }
+        }
+    });
+    host_.log_info("take-over complete: " + std::to_string(feed_.all_open().size()) +
+                   " open jobs, " + std::to_string(places_.size()) + " records");
+    places_.clear();
+    places_.shrink_to_fit();
+    ready_ = true;
+    tick();
+}
+
+void Leader::tick() {
+    if (stopped_) return;
+    const auto now = port_.now();
+    if (now - types_at_ > (types_known_ ? 20000 : 1000)) poll_types();
+    const auto list_every =
+        std::max<Millis>(3000, static_cast<Millis>(settings_.cloud_list_lag_s * 1000));
+    if (now - listed_at_ > list_every) poll_list();
+    const auto lines = with([&](core::Cluster& c) { return c.tick(now); });
+    for (const auto& line : lines) host_.log_info(line);
+    if (!lines.empty()) changed();
+    if (now - planned_at_ > 1000) ask_plan();
+    if (now - counted_at_ > 800) {
+        counted_at_ = now;
+        std::vector<wire::JobCounts> counts;
+        for (const auto& [id, n] : with([](core::Cluster& c) { return c.job_counts(); })) {
+            if (counts.size() < 1000) counts.push_back({id, n.done, n.running});
+        }
+        host_.counts_found(std::move(counts));
+    }
+    write();
+    return_machines();
+    dispatch();
+    sync_machines();
+    port_.after(kTick, [self = shared_from_this()] { self->tick(); });
+}
+
+void Leader::poll_types() {
+    if (asking_types_) return;
+    asking_types_ = true;
+    types_at_ = port_.now();
+    cloud_.types([self = shared_from_this()](cloud::Answer answer,
+                                             const std::vector<core::MachineType>& types) {
+        self->asking_types_ = false;
+        if (self->stopped_ || answer != cloud::Answer::Ok) return;
+        self->with([&](core::Cluster& c) { c.set_types(types); });
+        if (!self->types_known_) self->ask_plan();
+        self->types_known_ = true;
+        self->host_.types_found(types);
+    });
+}
+
+void Leader::poll_list() {
+    if (listing_) return;
+    listing_ = true;
+    listed_at_ = port_.now();
+    cloud_.list([self = shared_from_this()](cloud::Answer answer,
+                                            const std::vector<core::ListedMachine>& machines,
+                                            const std::set<std::string>& names) {
+        self->listing_ = false;
+        if (self->stopped_) return;
+        const auto now = self->port_.now();
+        self->with([&](core::Cluster& c) {
+            c.on_list(machines, now);
+            if (answer == cloud::Answer::Ok) c.on_list_complete(names, now);
+        });
+        self->sync_machines();
+    });
+}
+
+void Leader::sync_machines() {
+    // Raises the token at machines whose reports still carry an older one, so that commands of
+    // earlier leaders, late copies included, end there.
+    const auto now = port_.now();
+    for (const auto& [name, endpoint] :
+         with([](core::Cluster& c) { return c.unsynced_machines(); })) {
+        if (direct_open_.size() >= kMostDirect) break;
+        if (direct_open_.contains(name) || direct_pause_[name] > now) continue;
+        direct(name);
+    }
+}
+
+void Leader::changed() {
+    write();
+    dispatch();
+    ask_plan();
+}
+
+std::optional<wire::BeatAnswer> Leader::beat(const core::Report& report) {
+    if (report.token > token_) {
+        host_.step_down("a worker has seen token " + std::to_string(report.token));
+        return std::nullopt;
+    }
+    // Before the records are read nothing may be concluded; the answer raises the token.
+    if (!ready_) return wire::BeatAnswer{token_, {}};
+    const auto now = port_.now();
+    const bool may_start = host_.may_start();
+    core::BeatOutcome outcome;
+    wire::BeatAnswer answer{token_, {}};
+    with([&](core::Cluster& c) {
+        outcome = c.on_report(report, true, now);
+        if (!direct_open_.contains(report.machine)) {
+            answer.orders = c.beat_orders(report.machine, report.seq, may_start, now);
+        }
+    });
+    if (outcome.changed) changed();
+    return answer;
+}
+
+bool Leader::lost(const store::TxnResult& result) {
+    if (result.outcome != store::Outcome::Conflict) return false;
+    if (std::find(result.failed.begin(), result.failed.end(), "leader") == result.failed.end()) {
+        return false;
+    }
+    host_.step_down("another leader has won");
+    return true;
+}
+
+void Leader::write() {
+    if (!ready_ || !host_.may_start()) return;
+    write_finals();
+    write_chunks();
+    write_orphans();
+}
+
+void Leader::write_chunks() {
+    if (chunk_writes_ >= 2) return;
+    const auto now = port_.now();
+    auto writes = with(
+        [&](core::Cluster& c) { return c.next_chunk_writes(store_.txn_ops(), kRecordBytes, now); });
+    if (writes.empty()) return;
+    std::vector<wire::Condition> when{mine()};
+    std::vector<wire::Change> then;
+    for (const auto& w : writes) {
+        const auto key = "place/" + w.job_id + "/" + std::to_string(w.chunk);
+        when.push_back({key, w.rev});
+        then.push_back({key, wire::place_value(w.record), 0});
+    }
+    ++chunk_writes_;
+    store_.txn(
+        store::Lane::Place, when, then,
+        [self = shared_from_this(), writes = std::move(writes)](const store::TxnResult& result) {
+            --self->chunk_writes_;
+            if (self->stopped_ || self->lost(result)) return;
+            const auto at = self->port_.now();
+            for (const auto& w : writes) {
+                const auto key = "place/" + w.job_id + "/" + std::to_string(w.chunk);
+                const bool clash = result.outcome == store::Outcome::Unknown ||
+                                   std::find(result.failed.begin(), result.failed.end(), key) !=
+                                       result.failed.end();
+                if (clash) {
+                    // In doubt, or an earlier write in doubt came late: read back first.
+                    self->reread(w);
+                    continue;
+                }
+                self->with([&](core::Cluster& c) {
+                    c.chunk_written(w, result.outcome == store::Outcome::Ok, result.revision, at);
+                });
+            }
+            self->write();
+            self->dispatch();
+        });
+}
+
+void Leader::reread(const core::ChunkWrite& write) {
+    store_.get(store::Lane::Place, "place/" + write.job_id + "/" + std::to_string(write.chunk),
+               [self = shared_from_this(), write](store::Outcome outcome, const wire::Item& item) {
+                   if (self->stopped_) return;
+                   const auto now = self->port_.now();
+                   if (outcome == store::Outcome::Missing) {
+                       self->with([&](core::Cluster& c) { c.chunk_reread(write, 0, 0, now); });
+                   } else if (auto record = outcome == store::Outcome::Ok
+                                                ? wire::parse_place_value(item.value)
+                                                : std::nullopt) {
+                       self->with([&](core::Cluster& c) {
+                           c.chunk_reread(write, item.rev, record->nonce, now);
+                       });
+                   } else {
+                       self->port_.after(300, [self, write] {
+                           if (!self->stopped_) self->reread(write);
+                       });
+                       return;
+                   }
+                   self->write();
+                   self->dispatch();
+               });
+}
+
+void Leader::write_finals() {
+    while (final_writes_ < 3) {
+        const auto now = port_.now();
+        core::JobText text;
+        auto write = with([&](core::Cluster& c) {
+            auto w = c.next_final_write(store_.txn_ops() - 2, now);
+            if (w && w->with_job) text = c.jobs().at(w->job).text;
+            return w;
+        });
+        if (!write) return;
+        std::vector<wire::Condition> when{
+            mine(), {"open/" + write->job_id, write->open_rev}, {"over/" + write->job_id, 0}};
+        std::vector<wire::Change> then{
+            {"open/" + write->job_id, "", 0},
+            {"over/" + write->job_id, wire::over_value(false, write->with_job ? &text : nullptr),
+             0}};
+        for (auto chunk : write->chunks) {
+            then.push_back({"place/" + write->job_id + "/" + std::to_string(chunk), "", 0});
+        }
+        ++final_writes_;
+        store_.txn(store::Lane::Place, when, then,
+                   [self = shared_from_this(), write = *write](const store::TxnResult& result) {
+                       --self->final_writes_;
+                       if (self->stopped_ || self->lost(result)) return;
+                       const bool ok = result.outcome == store::Outcome::Ok;
+                       self->with([&](core::Cluster& c) {
+                           c.final_written(write, ok, self->port_.now());
+                       });
+                       if (ok) {
+                           self->host_.log_info("job " + write.job_id + " done");
+                           self->feed_.wrote_final(write.job_id, false);
+                       }
+                       self->write();
+                   });
+    }
+}
+
+void Leader::write_orphans() {
+    if (orphan_write_) return;
+    auto keys = with([&](core::Cluster& c) { return c.next_orphans(store_.txn_ops()); });
+    if (keys.empty()) return;
+    std::vector<wire::Change> then;
+    for (const auto& key : keys) then.push_back({key, "", 0});
+    orphan_write_ = true;
+    store_.txn(store::Lane::Read, {mine()}, then,
+               [self = shared_from_this(), keys](const store::TxnResult& result) {
+                   self->orphan_write_ = false;
+                   if (self->stopped_ || self->lost(result)) return;
+                   self->with([&](core::Cluster& c) {
+                       c.orphans_removed(keys, result.outcome == store::Outcome::Ok);
+                   });
+               });
+}
+
+void Leader::return_machines() {
+    if (returning_) return;
+    const auto now = port_.now();
+    auto names = with([&](core::Cluster& c) { return c.next_returns(100, now); });
+    if (names.empty()) return;
+    returning_ = true;
+    cloud_.give_back(names, [self = shared_from_this(), names](cloud::Answer answer) {
+        self->returning_ = false;
+        if (self->stopped_) return;
+        self->with([&](core::Cluster& c) {
+            c.returned(names, answer == cloud::Answer::Ok, self->port_.now());
+        });
+        if (answer == cloud::Answer::Ok) {
+            self->host_.log_info("returned " + std::to_string(names.size()) + " machines, " +
+                                 names.front());
+            self->changed();
+        }
+    });
+}
+
+void Leader::dispatch() {
+    if (!ready_) return;
+    const bool may_start = host_.may_start();
+    const auto now = port_.now();
+    for (const auto& name :
+         with([&](core::Cluster& c) { return c.machines_with_orders(may_start); })) {
+        if (direct_open_.size() >= kMostDirect) break;
+        if (direct_open_.contains(name)) continue;
+        if (auto it = direct_pause_.find(name); it != direct_pause_.end() && it->second > now) {
+            continue;
+        }
+        direct(name);
+    }
+}
+
+void Leader::direct(const std::string& machine) {
+    const auto now = port_.now();
+    const bool may_start = host_.may_start();
+    auto orders = with([&](core::Cluster& c) { return c.direct_orders(machine, may_start, now); });
+    if (orders.endpoint.empty()) return;
+    // A machine that was never heard is in its first session, or says so in its answer.
+    if (orders.session == 0) orders.session = 1;
+    direct_open_.insert(machine);
+    port_.call(orders.endpoint,
+               {"POST", "/do", wire::direct_body(token_, orders.session, orders.orders)},
+               kDirectDeadline, [self = shared_from_this(), orders](const net::HttpReply& reply) {
+                   self->direct_open_.erase(orders.machine);
+                   if (self->stopped_) return;
+                   const auto at = self->port_.now();
+                   using Result = core::Cluster::DirectResult;
+                   auto report = reply.status == 200 || reply.status == 409
+                                     ? wire::parse_report(reply.body)
+                                     : std::nullopt;
+                   if (report && report->machine != orders.machine) report.reset();
+                   const auto result = reply.status == 200 ? Result::Executed
+                                       : reply.status == 409 || reply.status == 400 ||
+                                               (reply.status == 0 && !reply.sent)
+                                           ? Result::NotExecuted
+                                           : Result::NoAnswer;
+                   core::BeatOutcome outcome;
+                   self->with([&](core::Cluster& c) {
+                       c.direct_result(orders, result);
+                       if (report) outcome = c.on_report(*report, false, at);
+                   });
+                   if (outcome.superseded) {
+                       return self->host_.step_down("a worker has seen a higher token");
+                   }
+                   self->direct_pause_[orders.machine] = at + (result == Result::Executed ? 150
+                                                               : report                   ? 400
+                                                                        : kDirectPause);
+                   if (outcome.changed) self->changed();
+               });
+}
+
+void Leader::ask_plan() {
+    if (stopped_ || !ready_ || !types_known_) return;
+    if (planning_) {
+        plan_wanted_ = true;
+        return;
+    }
+    const auto now = port_.now();
+    if (now - planned_at_ < kPlanSpacing) {
+        if (plan_timer_) return;
+        plan_timer_ = true;
+        port_.after(kPlanSpacing - (now - planned_at_), [self = shared_from_this()] {
+            self->plan_timer_ = false;
+            self->ask_plan();
+        });
+        return;
+    }
+    planned_at_ = now;
+    planning_ = true;
+    plan_wanted_ = false;
+    const auto wall = port_.wall_ms();
+    port_.plan(
+        [shared = shared_, now, wall] {
+            std::scoped_lock lock(shared->mutex);
+            return shared->cluster->snapshot(now, wall);
+        },
+        [self = shared_from_this()](const core::Plan& plan) {
+            self->planning_ = false;
+            if (self->stopped_) return;
+            self->planned(plan);
+            if (self->plan_wanted_) self->ask_plan();
+        });
+}
+
+void Leader::planned(const core::Plan& plan) {
+    if (!host_.may_start()) return;
+    const auto now = port_.now();
+    const auto applied = with([&](core::Cluster& c) { return c.apply(plan, now); });
+    for (const auto& line : applied.lines) host_.log_info(line);
+    if (renting_ == 0) {
+        for (const auto& r : applied.rents) rent(r);
+    }
+    if (applied.starts + applied.stops > 0) {
+        write();
+        dispatch();
+    }
+}
+
+void Leader::rent(const core::Rent& rent) {
+    std::string type;
+    std::string zone;
+    with([&](core::Cluster&) {
+        type = shared_->types.name(rent.type);
+        zone = shared_->zones.name(rent.zone);
+    });
+    // Token and counter: no request name is ever used twice, by any node.
+    auto request = "r-" + std::to_string(token_) + "-" + std::to_string(++rentals_);
+    host_.log_info("rent " + std::to_string(rent.number) + " " + type + " in " + zone +
+                   (rent.spot ? " (spot) as " : " as ") + request);
+    ++renting_;
+    ask_rent(std::move(request), std::move(type), std::move(zone), rent, 6);
+}
+
+void Leader::ask_rent(std::string request, std::string type, std::string zone, core::Rent rent,
+                      int tries) {
+    const auto number = std::min<std::uint32_t>(rent.number, 50);
+    cloud_.rent(request, type, zone, rent.spot, number,
+                [self = shared_from_this(), request, type, zone, rent, tries, number](
+                    cloud::Answer answer, const std::vector<std::string>& names) {
+                    if (self->stopped_) return;
+                    const auto now = self->port_.now();
+                    if (answer == cloud::Answer::NoAnswer && tries > 0) {
+                        self->port_.after(1000, [=] {
+                            if (!self->stopped_) {
+                                self->ask_rent(request, type, zone, rent, tries - 1);
+                            }
+                        });
+                        return;
+                    }
+                    --self->renting_;
+                    self->with([&](core::Cluster& c) {
+                        if (answer == cloud::Answer::Ok) {
+                            c.on_rented(type, zone, rent.spot, names, now);
+                        }
+                        if (answer == cloud::Answer::NoCapacity ||
+                            (answer == cloud::Answer::Ok && names.size() < number)) {
+                            c.on_refused(rent.type, rent.zone, rent.spot, now);
+                        }
+                    });
+                    self->host_.log_info(
+                        "rental " + request + ": " + std::to_string(names.size()) + " machines" +
+                        (answer == cloud::Answer::NoCapacity ? ", no capacity" : ""));
+                    self->ask_plan();
+                });
+}
+
+}  // namespace lichendrift::control
--- /dev/null
+++ b/src/control/leader.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <set>
+#include <unordered_map>
+
+#include "cloud/cloud_client.h"
+#include "control/feed.h"
+#include "control/settings.h"
+#include "core/cluster.h"
+#include "wire/cbor_messages.h"
+
+namespace lichendrift::control {
+
+// What the leader needs of its controller.
+class LeaderHost {
+  public:
+    virtual ~LeaderHost() = default;
+    virtual bool may_start() = 0;  // surely still the leader by its own clock
+    virtual void step_down(const std::string& reason) = 0;
+    virtual void log_info(const std::string& text) = 0;
+    virtual void log_debug(const std::string& text) = 0;
+    virtual void types_found(const std::vector<core::MachineType>& types) = 0;
+    virtual void counts_found(std::vector<wire::JobCounts> counts) = 0;
+};
+
+// One term of leadership: the cluster's picture, planning, records, orders, rentals. Made when
+// the election is won and dropped when it is lost.
+class Leader : public std::enable_shared_from_this<Leader> {
+  public:
+    Leader(net::Port& port, const Settings& settings, store::StoreClient& store,
+           cloud::CloudClient& cloud, Feed& feed, LeaderHost& host, std::uint64_t token,
+           std::uint64_t leader_rev);
+
+    void start(const std::vector<core::MachineType>& known_types);
+    void stop();
+    // Empty: a higher token was seen and this leader must step down.
+    std::optional<wire::BeatAnswer> beat(const core::Report& report);
+    [[nodiscard]] std::uint64_t token() const { return token_; }
+    [[nodiscard]] bool ready() const { return ready_; }
+
+  private:
+    // The cluster is shared with the planner's thread; sections under the lock stay short and do
+    // no logging and no socket calls.
+    struct Shared {
+        std::mutex mutex;
+        core::Names types;
+        core::Names zones;
+        std::unique_ptr<core::Cluster> cluster;
+    };
+    template <typename F>
+    auto with(F f) {
+        std::scoped_lock lock(shared_->mutex);
+        return f(*shared_->cluster);
+    }
+
+    void load_jobs();
+    void load_places(const std::string& since);
+    void load_over(std::size_t at);
+    void loaded();
+    void tick();
+    void poll_types();
+    void poll_list();
+    void sync_machines();
+    void write();
+    void write_chunks();
+    void write_finals();
+    void write_orphans();
+    void reread(const core::ChunkWrite& write);
+    void return_machines();
+    void dispatch();
+    void direct(const std::string& machine);
+    void ask_plan();
+    void planned(const core::Plan& plan);
+    void rent(const core::Rent& rent);
+    void ask_rent(std::string request, std::string type, std::string zone, core::Rent rent,
+                  int tries);
+    void changed();
+    wire::Condition mine() const { return {"leader", leader_rev_}; }
+    bool lost(const store::TxnResult& result);
+
+    net::Port& port_;
+    const Settings& settings_;
+    store::StoreClient& store_;
+    cloud::CloudClient& cloud_;
+    Feed& feed_;
+    LeaderHost& host_;
+    std::uint64_t token_;
+    std::uint64_t leader_rev_;
+    std::shared_ptr<Shared> shared_ = std::make_shared<Shared>();
+    bool stopped_ = false;
+    bool ready_ = false;
+    bool types_known_ = false;
+    bool planning_ = false;
+    bool plan_wanted_ = false;
+    bool plan_timer_ = false;
+    Millis planned_at_ = -10000;
+    int chunk_writes_ = 0;
+    int final_writes_ = 0;
+    bool orphan_write_ = false;
+    bool returning_ = false;
+    bool listing_ = false;
+    Millis listed_at_ = -100000;
+    Millis types_at_ = -100000;
+    bool asking_types_ = false;
+    Millis counted_at_ = 0;
+    int renting_ = 0;
+    std::uint64_t rentals_ = 0;
+    std::set<std::string> direct_open_;
+    std::unordered_map<std::string, Millis> direct_pause_;
+    struct Place {
+        std::string job;
+        std::uint32_t chunk = 0;
+        core::PlaceRecord record;
+        std::uint64_t rev = 0;
+    };
+    std::vector<Place> places_;
+    std::vector<std::string> closed_;  // jobs with records that are not open any more
+};
+
+}  // namespace lichendrift::control
--- /dev/null
+++ b/src/control/settings.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+namespace lichendrift::control {
+
+struct Sibling {
+    std::string member;
+    std::string location;
+    std::string address;
+};
+
+struct Objective {
+    std::string kind;
+    std::string cls;
+    double within_s = 0;
+    double share = 0;
+    double times = 0;
+};
+
+// The platform's settings file, checked.
+struct Settings {
+    std::string member;
+    std::string location;
+    std::string listen;
+    std::string peer_bind;
+    std::vector<Sibling> siblings;
+    std::string cloud;
+    std::string state;
+    std::size_t size = 1;
+    std::vector<std::string> zones;
+    double skew_ms = 0;
+    std::vector<core::Team> teams;
+    std::vector<Objective> objectives;
+    double report_s = 2;
+    double lease_s = 10;
+    double gang_wait_s = 40;
+    double gang_peer_s = 4;
+    double cancel_s = 40;
+    double state_rps = 100;
+    double state_write_rps = 30;
+    double state_value_kb = 8;
+    std::size_t state_txn_ops = 8;
+    double cloud_rps = 4;
+    double cloud_list_lag_s = 3;
+    double core_share = 1;
+    double mem_mb = 64;
+    std::size_t max_connections = 1000;
+};
+
+}  // namespace lichendrift::control
--- /dev/null
+++ b/src/control/user_api.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <unordered_map>
+
+#include "control/feed.h"
+#include "control/settings.h"
+#include "wire/cbor_messages.h"
+
+namespace lichendrift::control {
+
+// Submissions, polls and cancellations. Works on any node, with or without a leader, from the
+// state service alone. What can't be taken is refused at once with 503 and Retry-After.
+class UserApi {
+  public:
+    UserApi(net::Port& port, const Settings& settings, store::StoreClient& store, Feed& feed);
+
+    void handle(const net::HttpRequest& request, net::Respond respond);
+    void set_types(std::vector<core::MachineType> types) { types_ = std::move(types); }
+    [[nodiscard]] bool types_known() const { return !types_.empty(); }
+    [[nodiscard]] const std::vector<core::MachineType>& types() const { return types_; }
+    // What the leader says of running jobs, for display.
+    void set_counts(const std::vector<wire::JobCounts>& counts);
+    [[nodiscard]] std::uint64_t refused() const { return refused_; }
+
+  private:
+    struct Submission {
+        core::JobText job;
+        std::string value;
+        std::vector<net::Respond> responds;
+    };
+    void submit(const std::string& body, net::Respond respond);
+    void poll(const std::string& id, net::Respond respond, bool submission);
+    void cancel(const std::string& id, net::Respond respond, int tries);
+    void flush();
+    void written(std::vector<Submission> batch, const store::TxnResult& result);
+    void answer_open(const std::string& id, const net::Respond& respond) const;
+    void refuse(const net::Respond& respond, const char* reason);
+    [[nodiscard]] std::string check(const core::JobText& job) const;
+
+    net::Port& port_;
+    const Settings& settings_;
+    store::StoreClient& store_;
+    Feed& feed_;
+    std::vector<core::MachineType> types_;
+    std::unordered_map<std::string, std::pair<std::uint32_t, std::uint32_t>> counts_;
+    std::deque<Submission> queue_;
+    std::unordered_map<std::string, std::vector<net::Respond>> doubles_;  // under way already
+    int batches_ = 0;
+    std::uint64_t refused_ = 0;
+};
+
+}  // namespace lichendrift::control
--- /dev/null
+++ b/src/core/cluster.cpp
@@ -0,0 +1,1165 @@
+#include "core/cluster.h"
+
+#include <cmath>
+
+namespace lichendrift::core {
+
+namespace {
+
+std::int64_t need_thousandths(double amount) {
+    return static_cast<std::int64_t>(std::ceil(amount * 1000.0 - 1e-6));
+}
+
+bool exceeds(const Room& used, const Room& limit) {
+    return (limit.cpus > 0 && used.cpus > limit.cpus) ||
+           (limit.gpus > 0 && used.gpus > limit.gpus) || (limit.mem > 0 && used.mem > limit.mem);
+}
+
+}  // namespace
+
+Cluster::Cluster(ClusterSettings settings, Names& types, Names& zones)
+    : settings_(std::move(settings)), types_(types), zones_(zones) {
+    for (const auto& team : settings_.teams) {
+        teams_.intern(team.name);
+        team_list_.push_back(team);
+    }
+    team_used_.resize(team_list_.size());
+}
+
+void Cluster::set_types(const std::vector<MachineType>& types) {
+    for (const auto& type : types) {
+        const auto ix = types_.intern(type.name);
+        if (type_info_.size() <= ix) type_info_.resize(ix + 1);
+        type_info_[ix] = type;
+        for (const auto& zone : type.zones) zones_.intern(zone);
+    }
+}
+
+void Cluster::add_job(const JobText& text, std::uint64_t open_rev, Millis now, bool over) {
+    if (job_ids_.contains(text.id)) return;
+    const auto ix = next_job_++;
+    job_ids_.emplace(text.id, ix);
+    Job& job = jobs_[ix];
+    job.id = text.id;
+    job.text = text;
+    job.open_rev = open_rev;
+    job.over = over;
+    job.aborted = over;
+    job.waiting_since = now;
+    job.done_flags.resize(text.count);
+    JobSpec& spec = job.spec;
+    spec.cls = classes_.intern(text.cls);
+    spec.team = teams_.find(text.team);
+    spec.gang = text.gang;
+    spec.priority = text.priority;
+    spec.count = text.count;
+    spec.need = {need_thousandths(text.cpus), need_thousandths(text.gpus),
+                 need_thousandths(text.mem_gb)};
+    spec.image = images_.intern(text.image);
+    spec.image_gb = text.image_gb;
+    if (text.types) {
+        spec.types = 0;
+        for (const auto& type : *text.types) {
+            if (const auto t = types_.intern(type); t < 64) spec.types |= 1ULL << t;
+        }
+    }
+    spec.zone = text.zone ? zones_.intern(*text.zone) : kNone;
+    spec.one_zone = text.one_zone;
+    spec.apart = text.apart;
+    spec.spot = text.spot;
+    spec.estimate_s = text.estimate_s;
+    spec.checkpoint_s = text.checkpoint_s;
+    spec.save_s = text.save_s;
+    spec.deadline_s = text.deadline_s;
+    spec.submitted_ms = text.submitted_ms;
+}
+
+void Cluster::load_record(const std::string& job_id, std::uint32_t chunk, const PlaceRecord& record,
+                          std::uint64_t rev, Millis now) {
+    auto found = job_ids_.find(job_id);
+    if (found == job_ids_.end()) return;
+    Job& job = jobs_[found->second];
+    job.chunks[chunk].rev = rev;
+    job.chunks[chunk].nonce = record.nonce;
+    auto tried = [&](std::uint32_t task) {
+        while (job.next_fresh <= task) job.again.insert(job.next_fresh++);
+    };
+    for (auto [first, last] : record.done) {
+        for (auto task = first; task <= last && task < job.spec.count; ++task) {
+            if (job.done_flags[task] == 0) ++job.done;
+            job.done_flags[task] = 2;
+            tried(task);
+            job.again.erase(task);
+        }
+    }
+    for (const auto& placed : record.placed) {
+        if (placed.task >= job.spec.count) continue;
+        tried(placed.task);
+        job.again.erase(placed.task);
+        Hold hold;
+        hold.job = found->second;
+        hold.task = placed.task;
+        hold.attempt = placed.attempt;
+        hold.machine = machine_for(placed.machine, "", "", false, now);
+        hold.session = placed.session;
+        // An earlier leader may have started it: only a report can tell.
+        hold.state = Hold::State::Seen;
+        hold.since = now;
+        hold.stop = job.over;
+        new_hold(hold);
+    }
+}
+
+void Cluster::job_over(const std::string& job_id, bool aborted, Millis now) {
+    auto found = job_ids_.find(job_id);
+    if (found == job_ids_.end()) return;
+    const auto ix = found->second;
+    Job& job = jobs_[ix];
+    if (job.over) return;
+    job.over = true;
+    job.aborted = aborted;
+    job.finishing = false;
+    std::vector<HoldIx> held;
+    for (auto& [task, hix] : job.holds) held.push_back(hix);
+    for (auto hix : held) {
+        Hold& h = hold(hix);
+        if (h.state == Hold::State::Planned || h.state == Hold::State::Ready) {
+            release(hix, false, now);
+        } else if (aborted) {
+            stop_hold(hix, 0, now);
+        }
+    }
+    drop_if_gone(ix);
+}
+
+MachineIx Cluster::machine_for(const std::string& name, const std::string& type,
+                               const std::string& zone, bool spot, Millis now) {
+    auto [it, fresh] = machine_ids_.try_emplace(name, static_cast<MachineIx>(machines_.size()));
+    if (fresh) {
+        Machine machine;
+        machine.name = name;
+        machine.first_seen = now;
+        machine.rented_at = now;
+        machines_.push_back(std::move(machine));
+    }
+    Machine& machine = machines_[it->second];
+    if (!type.empty() && machine.type == kNone) {
+        machine.type = types_.intern(type);
+        if (type_info_.size() <= machine.type) type_info_.resize(machine.type + 1);
+        machine.zone = zones_.intern(zone);
+        machine.spot = spot;
+    }
+    return it->second;
+}
+
+HoldIx Cluster::new_hold(const Hold& h) {
+    HoldIx ix;
+    if (free_holds_.empty()) {
+        ix = static_cast<HoldIx>(holds_.size());
+        holds_.push_back(h);
+    } else {
+        ix = free_holds_.back();
+        free_holds_.pop_back();
+        holds_[ix] = h;
+    }
+    Job& job = jobs_[h.job];
+    job.holds.emplace(h.task, ix);
+    machines_[h.machine].holds.push_back(ix);
+    machines_[h.machine].used += job.spec.need;
+    if (job.spec.team != kNone) team_used_[job.spec.team] += job.spec.need;
+    return ix;
+}
+
+void Cluster::release(HoldIx ix, bool requeue, Millis now) {
+    const Hold h = holds_[ix];
+    Job& job = jobs_[h.job];
+    Machine& machine = machines_[h.machine];
+    std::erase(machine.holds, ix);
+    machine.used -= job.spec.need;
+    if (machine.holds.empty()) machine.idle_since = now;
+    if (job.spec.team != kNone) team_used_[job.spec.team] -= job.spec.need;
+    auto [from, to] = job.holds.equal_range(h.task);
+    for (auto it = from; it != to; ++it) {
+        if (it->second == ix) {
+            job.holds.erase(it);
+            break;
+        }
+    }
+    holds_[ix] = Hold{};
+    free_holds_.push_back(ix);
+    if (requeue && !job.over && job.done_flags[h.task] == 0 && !job.holds.contains(h.task)) {
+        if (h.task < job.next_fresh) job.again.insert(h.task);
+        if (job.holds.empty() || !job.spec.gang) job.waiting_since = now;
+        // One task of a gang is gone: the rest cannot go on without it.
+        if (job.spec.gang && job.done == 0) {
+            std::vector<HoldIx> rest;
+            for (auto& [task, other] : job.holds) rest.push_back(other);
+            for (auto other : rest) {
+                if (holds_[other].job == h.job) stop_hold(other, 0, now);
+            }
+        }
+    }
+    drop_if_gone(h.job);
+}
+
+void Cluster::release_all(MachineIx mix, std::uint64_t below_session, Millis now) {
+    // Releasing one may release others of its gang, so the list is read anew each time.
+    for (bool again = true; again;) {
+        again = false;
+        for (auto hix : machines_[mix].holds) {
+            if (holds_[hix].session < below_session) {
+                release(hix, true, now);
+                again = true;
+                break;
+            }
+        }
+    }
+}
+
+void Cluster::drop_if_gone(JobIx ix) {
+    auto it = jobs_.find(ix);
+    if (it == jobs_.end() || !it->second.over || !it->second.holds.empty()) return;
+    for (auto& [number, chunk] : it->second.chunks) {
+        // A write in flight may still create the record: removing it later is harmless.
+        if (chunk.rev != 0 || chunk.writing || chunk.dirty) {
+            orphans_.push_back("place/" + it->second.id + "/" + std::to_string(number));
+        }
+    }
+    job_ids_.erase(it->second.id);
+    jobs_.erase(it);
+}
+
+void Cluster::mark_dirty(Job& job, std::uint32_t task) {
+    const auto number = task / settings_.chunk_tasks;
+    job.chunks[number].dirty = true;
+    dirty_.emplace(job_ids_[job.id], number);
+}
+
+void Cluster::mark_done(JobIx ix, std::uint32_t task) {
+    Job& job = jobs_[ix];
+    auto one = [&](std::uint32_t t) {
+        if (job.done_flags[t] != 0) return;
+        job.done_flags[t] = 1;
+        ++job.done;
+        while (job.next_fresh <= t) job.again.insert(job.next_fresh++);
+        job.again.erase(t);
+        mark_dirty(job, t);
+    };
+    if (job.spec.gang) {
+        // A gang completes together: if one task is done, all are.
+        for (std::uint32_t t = 0; t < job.spec.count; ++t) one(t);
+    } else {
+        one(task);
+    }
+}
+
+void Cluster::stop_hold(HoldIx ix, double grace_s, Millis now) {
+    Hold& h = holds_[ix];
+    if (h.state == Hold::State::Planned || h.state == Hold::State::Ready) {
+        // Nothing was sent, so it can be taken back at once.
+        release(ix, true, now);
+        return;
+    }
+    if (!h.stop) {
+        h.stop = true;
+        h.grace_s = grace_s;
+        h.stop_since = now;
+    } else {
+        h.grace_s = std::min(h.grace_s, grace_s);
+    }
+}
+
+void Cluster::stop_with_gang(HoldIx ix, double grace_s, Millis now) {
+    Job& job = jobs_[holds_[ix].job];
+    if (!job.spec.gang) {
+        stop_hold(ix, grace_s, now);
+        return;
+    }
+    const auto jix = holds_[ix].job;
+    std::vector<HoldIx> all;
+    for (auto& [task, other] : job.holds) all.push_back(other);
+    for (auto other : all) {
+        if (holds_[other].job == jix) stop_hold(other, grace_s, now);
+    }
+}
+
+bool Cluster::usable(const Machine& machine, Millis now) const {
+    return machine.life == Machine::Life::Up && machine.synced && !machine.drain &&
+           !machine.taken_at && machine.type != kNone && machine.quarantine_until <= now &&
+           now - machine.heard_at <= settings_.report_ms * 2 + 500;
+}
+
+void Cluster::note_image(Machine& machine, ImageIx image) {
+    std::erase(machine.images, image);
+    machine.images.push_back(image);
+    if (machine.images.size() > 8) machine.images.erase(machine.images.begin());
+}
+
+void Cluster::note_failure(Job& job, MachineIx mix, Millis now) {
+    Machine& machine = machines_[mix];
+    job.failures++;
+    job.failed_on.insert(mix);
+    const auto step = std::min<std::uint32_t>(job.failures, 6);
+    // The first failure is mostly the machine's; a job that fails everywhere waits longer.
+    if (job.failed_on.size() >= 2) job.retry_at = now + (1000LL << step);
+    if (job.failed_on.size() <= 2) {
+        machine.failed_jobs.insert(static_cast<JobIx>(job_ids_[job.id]));
+        machine.quarantine_until = now + 3000;
+        if (machine.failed_jobs.size() >= 2) {
+            machine.drain = true;
+            machine.condemned = true;
+        }
+    }
+}
+
+void Cluster::on_exit(HoldIx ix, const TaskReport& task, Millis now) {
+    const Hold h = holds_[ix];
+    Job& job = jobs_[h.job];
+    Machine& machine = machines_[h.machine];
+    if (h.direct_doubt || h.direct_open > 0) {
+        // A copy of the run may come late; as long as the worker knows the attempt it has no
+        // effect, so the attempt is never reaped under this token and session.
+        machine.no_reap.emplace(job.id, h.task, h.attempt);
+    }
+    switch (task.why) {
+        case ExitWhy::Done:
+            machine.failed_jobs.clear();
+            job.failures = 0;
+            if (!job.over) mark_done(h.job, h.task);
+            break;
+        case ExitWhy::Error:
+            note_failure(job, h.machine, now);
+            break;
+        case ExitWhy::Full:
+        case ExitWhy::Busy:
+            machine.quarantine_until = std::max(machine.quarantine_until, now + 1000);
+            break;
+        case ExitWhy::Unknown:
+        case ExitWhy::Alone:
+            job.retry_at = std::max(job.retry_at, now + 2000);
+            break;
+        default:
+            break;
+    }
+    release(ix, true, now);
+}
+
+void Cluster::notice(MachineIx mix, double notice_s, Millis now) {
+    Machine& machine = machines_[mix];
+    machine.taken_at = now + static_cast<Millis>(notice_s * 1000);
+    const auto held = machine.holds;
+    for (auto hix : held) {
+        const Hold& h = holds_[hix];
+        if (h.job == kNone || h.stop) continue;
+        const auto& spec = jobs_[h.job].spec;
+        const double ran_s = h.running_since > 0 ? (now - h.running_since) / 1000.0 : 0;
+        if (h.phase == TaskPhase::Running && spec.estimate_s - ran_s < notice_s * 0.7) continue;
+        stop_with_gang(hix, spec.checkpoint_s > 0 ? std::min(notice_s, spec.save_s) : 0, now);
+    }
+}
+
+BeatOutcome Cluster::on_report(const Report& report, bool is_beat, Millis now) {
+    BeatOutcome outcome;
+    if (report.token > settings_.token) {
+        outcome.superseded = true;
+        return outcome;
+    }
+    const auto mix = machine_for(report.machine, report.type, report.zone, report.spot, now);
+    if (machines_[mix].life == Machine::Life::Gone) return outcome;
+    {
+        Machine& machine = machines_[mix];
+        // Older than what is known: changes nothing.
+        if (std::pair(report.session, report.seq) <= std::pair(machine.session, machine.seq)) {
+            return outcome;
+        }
+        if (report.session > machine.session) {
+            machine.no_reap.clear();
+            machine.images.clear();
+            outcome.changed = true;
+        }
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.endpoint = report.endpoint;
+        if (machine.life == Machine::Life::Booting) {
+            machine.life = Machine::Life::Up;
+            machine.idle_since = now;
+            outcome.changed = true;
+        }
+        machine.heard_at = now;
+        const bool synced = report.token == settings_.token;
+        if (synced != machine.synced) outcome.changed = true;
+        machine.synced = synced;
+    }
+    // A later session: the worker killed and forgot all tasks of the earlier ones.
+    if (!machines_[mix].holds.empty()) {
+        const auto before = machines_[mix].holds.size();
+        release_all(mix, report.session, now);
+        outcome.changed |= before != machines_[mix].holds.size();
+    }
+    const bool trusted = machines_[mix].synced;
+
+    std::map<std::tuple<JobIx, std::uint32_t, std::uint64_t>, const TaskReport*> seen;
+    std::vector<TaskReport> exited;
+    for (const auto& task : report.tasks) {
+        auto found = job_ids_.find(task.job);
+        const auto jix = found == job_ids_.end() ? kNone : found->second;
+        if (jix == kNone || task.task >= jobs_[jix].spec.count) {
+            // Live tasks of a job that is over and forgotten are halted by name.
+            exited.push_back(task);
+            continue;
+        }
+        seen[{jix, task.task, task.attempt}] = &task;
+    }
+    // What we hold on it, compared with what it shows.
+    const auto held = machines_[mix].holds;
+    for (auto hix : held) {
+        const Hold copy = holds_[hix];
+        if (copy.job == kNone || copy.machine != mix) continue;  // released with its gang
+        auto it = seen.find({copy.job, copy.task, copy.attempt});
+        if (it != seen.end()) {
+            const TaskReport& task = *it->second;
+            if (task.phase == TaskPhase::Exited) {
+                if (trusted) {
+                    on_exit(hix, task, now);
+                    outcome.changed = true;
+                }
+                continue;
+            }
+            Hold& h = holds_[hix];
+            if (h.phase != task.phase || h.state != Hold::State::Seen) outcome.changed = true;
+            h.state = Hold::State::Seen;
+            h.reported = true;
+            h.phase = task.phase;
+            if (task.phase == TaskPhase::Running && h.running_since == 0) h.running_since = now;
+            if (task.phase != TaskPhase::Pulling) {
+                note_image(machines_[mix], jobs_[h.job].spec.image);
+            }
+            seen.erase(it);
+            continue;
+        }
+        if (!trusted) continue;
+        Hold& h = holds_[hix];
+        switch (h.state) {
+            case Hold::State::Planned:
+            case Hold::State::Ready:
+                break;
+            case Hold::State::Sent:
+                // A beat after the answer that carried the run proves it was dropped; a direct
+                // run without an answer stays in doubt.
+                if (h.direct_doubt || h.direct_open > 0) break;
+                if (!is_beat || report.seq <= h.beat_seq) break;
+                if (h.stop) {
+                    release(hix, true, now);
+                } else {
+                    h.state = Hold::State::Ready;
+                }
+                outcome.changed = true;
+                break;
+            case Hold::State::Seen:
+                if (h.direct_doubt || h.direct_open > 0) break;
+                if (h.beat_seq != 0 && !is_beat) break;
+                if (h.beat_seq != 0 && report.seq <= h.beat_seq) break;
+                release(hix, true, now);
+                outcome.changed = true;
+                break;
+        }
+    }
+    for (auto& [key, task] : seen) {
+        const auto [jix, number, attempt] = key;
+        if (!jobs_.contains(jix)) continue;
+        if (task->phase == TaskPhase::Exited) {
+            exited.push_back(*task);
+            if (trusted && task->why == ExitWhy::Done && !jobs_[jix].over &&
+                jobs_[jix].done_flags[number] == 0) {
+                mark_done(jix, number);
+                outcome.changed = true;
+            }
+            continue;
+        }
+        bool known = false;
+        for (auto hix : machines_[mix].holds) {
+            known |= holds_[hix].job == jix && holds_[hix].task == number &&
+                     holds_[hix].attempt == attempt;
+        }
+        if (known) continue;
+        // On a machine without a record: it counts as there until gone, and is halted.
+        Hold h;
+        h.job = jix;
+        h.task = number;
+        h.attempt = attempt;
+        h.machine = mix;
+        h.session = report.session;
+        h.state = Hold::State::Seen;
+        h.phase = task->phase;
+        h.stray = true;
+        h.reported = true;
+        h.stop = true;
+        h.since = now;
+        while (jobs_[jix].next_fresh <= number) jobs_[jix].again.insert(jobs_[jix].next_fresh++);
+        jobs_[jix].again.erase(number);
+        new_hold(h);
+        mark_dirty(jobs_[jix], number);
+        outcome.changed = true;
+    }
+    if (trusted) {
+        // Exits of held tasks were handled above; collect them for reaping as well.
+        for (const auto& task : report.tasks) {
+            if (task.phase != TaskPhase::Exited) continue;
+            const bool there = std::any_of(exited.begin(), exited.end(), [&](const auto& e) {
+                return e.job == task.job && e.task == task.task && e.attempt == task.attempt;
+            });
+            if (!there) exited.push_back(task);
+        }
+        exited_[report.machine] = std::move(exited);
+    }
+    if (report.notice_s && !machines_[mix].taken_at) {
+        notice(mix, *report.notice_s, now);
+        outcome.changed = true;
+    }
+    return outcome;
+}
+
+void Cluster::append_orders(MachineIx mix, bool direct, std::uint64_t beat_seq, bool may_start,
+                            std::vector<Order>& out, Millis now) {
+    Machine& machine = machines_[mix];
+    const bool up = machine.life == Machine::Life::Up;
+    if (machine.synced) {
+        if (auto it = exited_.find(machine.name); it != exited_.end()) {
+            for (const auto& task : it->second) {
+                if (out.size() >= 200) break;
+                if (task.phase != TaskPhase::Exited) {
+                    out.push_back({Order::Kind::Halt, task.job, task.task, task.attempt, 0});
+                    continue;
+                }
+                if (machine.no_reap.contains({task.job, task.task, task.attempt})) continue;
+                auto found = job_ids_.find(task.job);
+                if (found != job_ids_.end() && task.why == ExitWhy::Done) {
+                    const Job& job = jobs_[found->second];
+                    // The result has to be durable before the worker may forget it.
+                    if (!job.over && task.task < job.spec.count && job.done_flags[task.task] != 2) {
+                        continue;
+                    }
+                }
+                out.push_back({Order::Kind::Reap, task.job, task.task, task.attempt, 0});
+            }
+            if (!direct) exited_.erase(it);
+        }
+    }
+    for (auto hix : machine.holds) {
+        Hold& h = holds_[hix];
+        if (h.session != machine.session || out.size() >= 400) continue;
+        const Job& job = jobs_[h.job];
+        if (h.stop && h.state != Hold::State::Planned && h.state != Hold::State::Ready) {
+            // In doubt and unwanted: sending the run again would show it, but a cancelled job's
+            // tasks must not start, so there only the halt is sent.
+            if (h.state == Hold::State::Sent && h.direct_doubt && !job.over && may_start) {
+                out.push_back({Order::Kind::Run, job.id, h.task, h.attempt, 0});
+                if (!direct) h.beat_seq = beat_seq;
+            }
+            out.push_back({Order::Kind::Halt, job.id, h.task, h.attempt, h.grace_s});
+            continue;
+        }
+        if (job.over || h.stop || !may_start || !up || !machine.synced) continue;
+        if (h.state == Hold::State::Ready || (h.state == Hold::State::Sent && h.direct_doubt)) {
+            out.push_back({Order::Kind::Run, job.id, h.task, h.attempt, 0});
+            h.state = Hold::State::Sent;
+            if (direct) {
+                ++h.direct_open;
+            } else {
+                h.beat_seq = beat_seq;
+            }
+            h.since = h.since == 0 ? now : h.since;
+        }
+    }
+}
+
+std::vector<Order> Cluster::beat_orders(const std::string& name, std::uint64_t seq, bool may_start,
+                                        Millis now) {
+    std::vector<Order> out;
+    auto it = machine_ids_.find(name);
+    // A late copy of an old beat gets no orders: its worker is not waiting for them.
+    if (it == machine_ids_.end() || machines_[it->second].seq != seq) return out;
+    append_orders(it->second, false, seq, may_start, out, now);
+    return out;
+}
+
+std::vector<std::string> Cluster::machines_with_orders(bool may_start) const {
+    std::vector<std::string> out;
+    for (const auto& machine : machines_) {
+        if (machine.life != Machine::Life::Up || !machine.synced) continue;
+        for (auto hix : machine.holds) {
+            const Hold& h = holds_[hix];
+            if (h.session != machine.session) continue;
+            const bool run = may_start && h.state == Hold::State::Ready && !h.stop;
+            const bool halt = h.stop && h.state == Hold::State::Seen &&
+                              h.phase != TaskPhase::Saving && h.phase != TaskPhase::Exited;
+            if (run || halt) {
+                out.push_back(machine.name);
+                break;
+            }
+        }
+    }
+    return out;
+}
+
+Cluster::Direct Cluster::direct_orders(const std::string& name, bool may_start, Millis now) {
+    Direct direct;
+    auto it = machine_ids_.find(name);
+    if (it == machine_ids_.end()) return direct;
+    direct.machine = name;
+    direct.endpoint = machines_[it->second].endpoint;
+    direct.session = machines_[it->second].session;
+    append_orders(it->second, true, 0, may_start, direct.orders, now);
+    return direct;
+}
+
+void Cluster::direct_result(const Direct& direct, DirectResult result) {
+    auto it = machine_ids_.find(direct.machine);
+    if (it == machine_ids_.end()) return;
+    for (const auto& order : direct.orders) {
+        if (order.kind != Order::Kind::Run) continue;
+        for (auto hix : machines_[it->second].holds) {
+            Hold& h = holds_[hix];
+            if (h.attempt != order.attempt || h.task != order.task ||
+                jobs_[h.job].id != order.job) {
+                continue;
+            }
+            if (h.direct_open > 0) --h.direct_open;
+            if (result == DirectResult::NoAnswer) h.direct_doubt = true;
+            if (result == DirectResult::NotExecuted && h.state == Hold::State::Sent &&
+                !h.direct_doubt && h.direct_open == 0 && h.beat_seq == 0) {
+                h.state = Hold::State::Ready;
+            }
+        }
+    }
+}
+
+std::vector<std::pair<std::string, std::string>> Cluster::unsynced_machines() const {
+    std::vector<std::pair<std::string, std::string>> out;
+    for (const auto& machine : machines_) {
+        if (machine.life == Machine::Life::Gone || machine.synced || machine.endpoint.empty()) {
+            continue;
+        }
+        out.emplace_back(machine.name, machine.endpoint);
+    }
+    return out;
+}
+
+std::vector<ChunkWrite> Cluster::next_chunk_writes(std::size_t most, std::size_t most_bytes,
+                                                   Millis now) {
+    std::vector<ChunkWrite> out;
+    std::size_t bytes = 0;
+    for (auto it = dirty_.begin(); it != dirty_.end() && out.size() < most && bytes < most_bytes;) {
+        const auto [jix, number] = *it;
+        auto found = jobs_.find(jix);
+        if (found == jobs_.end() || found->second.over) {
+            it = dirty_.erase(it);
+            continue;
+        }
+        Job& job = found->second;
+        Chunk& chunk = job.chunks[number];
+        if (!chunk.dirty) {
+            it = dirty_.erase(it);
+            continue;
+        }
+        if (chunk.writing || chunk.retry_at > now || job.finishing || job.done == job.spec.count) {
+            ++it;
+            continue;
+        }
+        it = dirty_.erase(it);
+        {
+            ChunkWrite write;
+            write.job = jix;
+            write.chunk = number;
+            write.job_id = job.id;
+            write.rev = chunk.rev;
+            write.record.term = settings_.token;
+            write.record.nonce = settings_.token * 1'000'000 + ++nonces_;
+            const auto first = number * settings_.chunk_tasks;
+            const auto last = std::min(first + settings_.chunk_tasks, job.spec.count);
+            for (auto held = job.holds.lower_bound(first);
+                 held != job.holds.end() && held->first < last; ++held) {
+                const Hold& h = holds_[held->second];
+                write.record.placed.push_back(
+                    {h.task, h.attempt, machines_[h.machine].name, h.session});
+            }
+            for (auto t = first; t < last; ++t) {
+                if (job.done_flags[t] == 0) continue;
+                if (!write.record.done.empty() && write.record.done.back().second + 1 == t) {
+                    write.record.done.back().second = t;
+                } else {
+                    write.record.done.emplace_back(t, t);
+                }
+            }
+            bytes += 200 + write.record.placed.size() * 60 + write.record.done.size() * 14;
+            chunk.writing = true;
+            chunk.dirty = false;
+            out.push_back(std::move(write));
+        }
+    }
+    return out;
+}
+
+void Cluster::chunk_written(const ChunkWrite& write, bool ok, std::uint64_t rev, Millis now) {
+    auto it = jobs_.find(write.job);
+    if (it == jobs_.end()) return;
+    Job& job = it->second;
+    Chunk& chunk = job.chunks[write.chunk];
+    chunk.writing = false;
+    if (!ok) {
+        chunk.dirty = true;
+        dirty_.emplace(write.job, write.chunk);
+        chunk.retry_at = now + 300;
+        return;
+    }
+    chunk.rev = rev;
+    chunk.nonce = write.record.nonce;
+    for (auto [first, last] : write.record.done) {
+        for (auto t = first; t <= last; ++t) job.done_flags[t] = 2;
+    }
+    for (const auto& placed : write.record.placed) {
+        auto [from, to] = job.holds.equal_range(placed.task);
+        for (auto h = from; h != to; ++h) {
+            Hold& hold = holds_[h->second];
+            if (hold.attempt == placed.attempt && hold.state == Hold::State::Planned) {
+                hold.state = Hold::State::Ready;
+            }
+        }
+    }
+    if (job.spec.gang) {
+        // A gang in several records starts only once all of them are durable.
+        bool all = true;
+        for (auto& [number, other] : job.chunks) all &= !other.dirty && !other.writing;
+        for (auto& [task, hix] : job.holds) {
+            Hold& h = holds_[hix];
+            if (!all && h.state == Hold::State::Ready) h.state = Hold::State::Planned;
+            if (all && h.state == Hold::State::Planned) h.state = Hold::State::Ready;
+        }
+    }
+}
+
+void Cluster::chunk_reread(const ChunkWrite& write, std::uint64_t rev, std::uint64_t nonce,
+                           Millis now) {
+    if (nonce == write.record.nonce) {
+        chunk_written(write, true, rev, now);
+        return;
+    }
+    chunk_written(write, false, 0, now);
+    if (auto it = jobs_.find(write.job); it != jobs_.end()) {
+        it->second.chunks[write.chunk].rev = rev;
+        it->second.chunks[write.chunk].retry_at = now;
+    }
+}
+
+std::optional<FinalWrite> Cluster::next_final_write(std::size_t most_chunks, Millis now) {
+    for (auto& [jix, job] : jobs_) {
+        if (job.over || job.finishing || job.done < job.spec.count || job.finish_retry_at > now) {
+            continue;
+        }
+        job.finishing = true;
+        FinalWrite write;
+        write.job = jix;
+        write.job_id = job.id;
+        write.open_rev = job.open_rev;
+        write.with_job = !job.holds.empty();
+        if (job.holds.empty()) {
+            for (auto& [number, chunk] : job.chunks) {
+                if (chunk.rev == 0 || chunk.writing) continue;
+                if (write.chunks.size() < most_chunks) write.chunks.push_back(number);
+            }
+        }
+        return write;
+    }
+    return std::nullopt;
+}
+
+void Cluster::final_written(const FinalWrite& write, bool ok, Millis now) {
+    auto it = jobs_.find(write.job);
+    if (it == jobs_.end()) return;
+    it->second.finishing = false;
+    if (!ok) {
+        it->second.finish_retry_at = now + 300;
+        return;
+    }
+    for (auto number : write.chunks) it->second.chunks[number].rev = 0;
+    for (auto& [number, chunk] : it->second.chunks) chunk.dirty = false;
+    const auto id = write.job_id;
+    job_over(id, false, now);
+}
+
+std::vector<std::string> Cluster::next_orphans(std::size_t most) {
+    if (!orphans_writing_.empty() || orphans_.empty()) return {};
+    const auto n = std::min(most, orphans_.size());
+    orphans_writing_.assign(orphans_.end() - static_cast<std::ptrdiff_t>(n), orphans_.end());
+    orphans_.resize(orphans_.size() - n);
+    return orphans_writing_;
+}
+
+void Cluster::orphans_removed(const std::vector<std::string>& keys, bool ok) {
+    orphans_writing_.clear();
+    if (!ok) orphans_.insert(orphans_.begin(), keys.begin(), keys.end());
+}
+
+void Cluster::on_list(const std::vector<ListedMachine>& page, Millis now) {
+    for (const auto& listed : page) {
+        const auto mix = machine_for(listed.name, listed.type, listed.zone, listed.spot, now);
+        Machine& machine = machines_[mix];
+        if (!machine.listed) {
+            machine.listed = true;
+            machine.rented_at =
+                std::min(machine.rented_at, now - static_cast<Millis>(listed.age_s * 1000));
+        }
+        if (machine.endpoint.empty()) machine.endpoint = listed.endpoint;
+        if (listed.state == ListedMachine::State::Failed && !machine.failed &&
+            machine.life != Machine::Life::Gone) {
+            machine.failed = true;
+            machine.life = Machine::Life::Returning;
+        }
+    }
+}
+
+void Cluster::on_list_complete(const std::set<std::string>& names, Millis now) {
+    for (auto& machine : machines_) {
+        if (machine.life != Machine::Life::Up || !machine.listed || names.contains(machine.name)) {
+            continue;
+        }
+        // Lists go back at times, so silence is asked for as well.
+        if (now - std::max(machine.heard_at, machine.first_seen) > settings_.report_ms * 2 + 2000) {
+            machine.life = Machine::Life::Returning;
+        }
+    }
+}
+
+void Cluster::on_rented(const std::string& type, const std::string& zone, bool spot,
+                        const std::vector<std::string>& names, Millis now) {
+    for (const auto& name : names) machine_for(name, type, zone, spot, now);
+    refused_.erase({types_.intern(type), zones_.intern(zone), spot});
+}
+
+void Cluster::on_refused(TypeIx type, ZoneIx zone, bool spot, Millis now) {
+    auto& [until, step] = refused_[{type, zone, spot}];
+    step = std::min<Millis>(step == 0 ? 8000 : step * 2, 30000);
+    until = now + step;
+}
+
+std::vector<std::string> Cluster::next_returns(std::size_t most, Millis now) {
+    std::vector<std::string> out;
+    for (auto& machine : machines_) {
+        if (out.size() >= most) break;
+        if (machine.life != Machine::Life::Returning) continue;
+        if (machine.return_asked != 0 && now - machine.return_asked < 3000) continue;
+        machine.return_asked = now;
+        out.push_back(machine.name);
+    }
+    return out;
+}
+
+void Cluster::returned(const std::vector<std::string>& names, bool ok, Millis now) {
+    if (!ok) return;
+    for (const auto& name : names) {
+        auto it = machine_ids_.find(name);
+        if (it == machine_ids_.end()) continue;
+        machines_[it->second].life = Machine::Life::Gone;
+        machines_[it->second].synced = false;
+        exited_.erase(name);
+        release_all(it->second, std::numeric_limits<std::uint64_t>::max(), now);
+    }
+}
+
+std::vector<std::string> Cluster::tick(Millis now) {
+    std::vector<std::string> lines;
+    std::size_t up = 0;
+    std::size_t heard = 0;
+    for (const auto& machine : machines_) {
+        if (machine.life != Machine::Life::Up) continue;
+        ++up;
+        if (now - machine.heard_at < settings_.report_ms * 2 + 1000) ++heard;
+    }
+    const auto patience = std::min(settings_.lease_ms, settings_.report_ms * 4) + 2000;
+    for (auto& machine : machines_) {
+        if (machine.life == Machine::Life::Gone || machine.life == Machine::Life::Returning) {
+            continue;
+        }
+        if (machine.life == Machine::Life::Up) {
+            const auto silent = now - std::max(machine.heard_at, machine.first_seen);
+            // Many silent at once is a cut of ours rather than their fault.
+            if (silent > patience && heard * 2 >= up) {
+                machine.life = Machine::Life::Returning;
+                lines.push_back("machine " + machine.name + " silent for " +
+                                std::to_string(silent) + " ms, returned");
+                continue;
+            }
+            if (machine.drain && machine.holds.empty()) machine.life = Machine::Life::Returning;
+            if (machine.taken_at && now > *machine.taken_at + 60000) machine.taken_at.reset();
+            for (auto hix : machine.holds) {
+                const Hold& h = holds_[hix];
+                // Unwanted and still in doubt: only the machine's return gives certainty.
+                if (h.stop && h.state == Hold::State::Sent && h.direct_doubt &&
+                    now - h.stop_since > settings_.cancel_ms / 3) {
+                    machine.life = Machine::Life::Returning;
+                    lines.push_back("machine " + machine.name + " may still get a late run of " +
+                                    jobs_[h.job].id + ", returned");
+                    break;
+                }
+            }
+        } else {
+            const double boot_s = machine.type != kNone && type_info_[machine.type].boot_s > 0
+                                      ? type_info_[machine.type].boot_s
+                                      : 60;
+            const auto limit = std::max<Millis>(static_cast<Millis>(boot_s * 3000), 60000);
+            // A record can name a machine that no list shows: it is gone, the return proves it.
+            const bool ghost = !machine.listed && !machine.holds.empty() &&
+                               now - machine.first_seen > patience + 6000;
+            if (ghost || now - machine.rented_at > limit) {
+                machine.life = Machine::Life::Returning;
+                lines.push_back("machine " + machine.name + " never came up, returned");
+            }
+        }
+    }
+    return lines;
+}
+
+std::uint32_t Cluster::waiting(const Job& job) const {
+    if (job.over || job.finishing || job.spec.team == kNone) return 0;
+    if (job.spec.gang) return job.holds.empty() && job.done == 0 ? job.spec.count : 0;
+    return static_cast<std::uint32_t>(job.again.size()) + (job.spec.count - job.next_fresh);
+}
+
+std::vector<std::uint32_t> Cluster::take_waiting(const Job& job, std::uint32_t most) const {
+    std::vector<std::uint32_t> out;
+    if (job.spec.gang) {
+        for (std::uint32_t t = 0; t < std::min(most, job.spec.count); ++t) out.push_back(t);
+        return out;
+    }
+    for (auto t : job.again) {
+        if (out.size() >= most) return out;
+        out.push_back(t);
+    }
+    for (auto t = job.next_fresh; t < job.spec.count && out.size() < most; ++t) out.push_back(t);
+    return out;
+}
+
+void Cluster::fill_guarantees() {
+    std::vector<std::vector<std::pair<std::int64_t, JobIx>>> by_team(team_list_.size());
+    for (auto& [jix, job] : jobs_) {
+        job.in_guarantee = false;
+        if (job.over || job.spec.team == kNone) continue;
+        by_team[job.spec.team].emplace_back(job.spec.submitted_ms, jix);
+    }
+    for (std::size_t t = 0; t < by_team.size(); ++t) {
+        const Room& guarantee = team_list_[t].guarantee;
+        if (guarantee == Room{}) continue;
+        std::sort(by_team[t].begin(), by_team[t].end());
+        Room sum;
+        for (auto [when, jix] : by_team[t]) {
+            Job& job = jobs_[jix];
+            sum += job.spec.need.times(job.spec.count - job.done);
+            if (exceeds(sum, guarantee)) break;
+            job.in_guarantee = true;
+        }
+    }
+}
+
+Snapshot Cluster::snapshot(Millis now, std::int64_t wall_ms) {
+    fill_guarantees();
+    Snapshot s;
+    s.now = now;
+    s.tuning = settings_.tuning;
+    s.team_used = team_used_;
+    s.teams = team_list_;
+    s.types = type_info_;
+    s.zones = zones_.size();
+    for (const auto& type : type_info_) {
+        auto& zones = s.type_zones.emplace_back();
+        for (const auto& zone : type.zones) zones.push_back(zones_.intern(zone));
+    }
+    for (const auto& [kind, until] : refused_) {
+        if (until.first > now) s.refused.push_back(kind);
+    }
+    for (MachineIx mix = 0; mix < machines_.size(); ++mix) {
+        const Machine& machine = machines_[mix];
+        if (machine.life == Machine::Life::Gone || machine.life == Machine::Life::Returning) {
+            continue;
+        }
+        if (machine.type == kNone) continue;
+        MachineView view;
+        view.ix = mix;
+        view.type = machine.type;
+        view.zone = machine.zone;
+        view.spot = machine.spot;
+        view.usable = usable(machine, now);
+        view.room = type_info_[machine.type].room;
+        view.free = view.room;
+        view.free -= machine.used;
+        view.idle_ms = machine.holds.empty() ? now - machine.idle_since : 0;
+        view.age_ms = now - machine.rented_at;
+        if (machine.life == Machine::Life::Booting) {
+            const double boot_s = type_info_[machine.type].boot_s;
+            const double age_s = static_cast<double>(view.age_ms) / 1000.0;
+            view.booting = age_s < boot_s * 1.7 + 5;
+            view.boot_left_s = std::max(2.0, boot_s - age_s);
+        } else if (!view.usable) {
+            // Not heard under this token yet, or resting: it will most likely be usable soon.
+            view.booting = !machine.drain && !machine.taken_at &&
+                           now - std::max(machine.heard_at, machine.first_seen) < 6000;
+            view.boot_left_s = 2;
+        }
+        view.images = machine.images;
+        for (auto hix : machine.holds) {
+            const Hold& h = holds_[hix];
+            const JobSpec& spec = jobs_[h.job].spec;
+            if (h.phase == TaskPhase::Pulling) view.fetching.push_back(spec.image);
+            HoldView hv;
+            hv.ix = hix;
+            hv.attempt = h.attempt;
+            hv.machine = mix;
+            hv.job = h.job;
+            hv.stopping = h.stop;
+            const double ran =
+                h.running_since > 0 ? static_cast<double>(now - h.running_since) / 1000.0 : 0;
+            hv.left_s = std::max(spec.estimate_s - ran, spec.estimate_s * 0.1);
+            hv.lost_s = spec.checkpoint_s > 0 ? std::min(spec.checkpoint_s, ran) : ran;
+            s.holds.push_back(hv);
+        }
+        s.machines.push_back(std::move(view));
+    }
+    for (const auto& [jix, job] : jobs_) {
+        const auto n = waiting(job);
+        if (n == 0 && job.holds.empty()) continue;
+        s.jobs[jix] = {job.spec, job.in_guarantee};
+        if (n == 0) continue;
+        ItemView item;
+        item.job = jix;
+        item.waiting = n;
+        item.in_guarantee = job.in_guarantee;
+        item.blocked = job.retry_at > now;
+        item.waited_ms = now - job.waiting_since;
+        item.slack_s = 1e9;
+        if (job.spec.deadline_s) {
+            item.slack_s = *job.spec.deadline_s -
+                           static_cast<double>(wall_ms - job.spec.submitted_ms) / 1000.0 -
+                           job.spec.estimate_s;
+        }
+        item.zone_counts.resize(zones_.size());
+        for (const auto& [task, hix] : job.holds) {
+            const auto zone = machines_[holds_[hix].machine].zone;
+            if (zone == kNone) continue;
+            item.zone = zone;
+            ++item.zone_counts[zone];
+        }
+        item.avoid.assign(job.failed_on.begin(), job.failed_on.end());
+        s.items.push_back(std::move(item));
+    }
+    return s;
+}
+
+bool Cluster::start_allowed(const Job& job,
+                            const std::vector<std::pair<std::uint32_t, MachineIx>>& on,
+                            Millis now) const {
+    const JobSpec& spec = job.spec;
+    if (job.over || job.finishing || spec.team == kNone) return false;
+    std::map<MachineIx, Room> free;
+    std::map<ZoneIx, std::uint32_t> zones;
+    for (const auto& [task, hix] : job.holds) ++zones[machines_[holds_[hix].machine].zone];
+    Room team = team_used_[spec.team];
+    for (auto [task, mix] : on) {
+        const Machine& machine = machines_[mix];
+        if (job.holds.contains(task) || job.done_flags[task] != 0) return false;
+        if (!usable(machine, now)) return false;
+        if (machine.type >= 64 || (spec.types >> machine.type & 1) == 0) return false;
+        if (spec.zone != kNone && machine.zone != spec.zone) return false;
+        if (machine.spot && !spec.spot) return false;
+        auto [it, fresh] = free.try_emplace(mix, type_info_[machine.type].room);
+        if (fresh) it->second -= machine.used;
+        if (!it->second.holds(spec.need)) return false;
+        it->second -= spec.need;
+        ++zones[machine.zone];
+        team += spec.need;
+    }
+    // Tasks on machines whose zone is not known could be anywhere.
+    if ((spec.one_zone || spec.apart) && zones.contains(kNone)) return false;
+    if (spec.one_zone && zones.size() > 1) return false;
+    if (spec.apart) {
+        for (auto [zone, count] : zones) {
+            if (count > (spec.count + 1) / 2) return false;
+        }
+    }
+    return !exceeds(team, team_list_[spec.team].limit);
+}
+
+Cluster::Applied Cluster::apply(const Plan& plan, Millis now) {
+    Applied applied;
+    for (const auto& start : plan.starts) {
+        auto it = jobs_.find(start.job);
+        if (it == jobs_.end()) continue;
+        Job& job = it->second;
+        const auto most = static_cast<std::uint32_t>(start.machines.size());
+        if (waiting(job) < most || job.retry_at > now) continue;
+        const auto tasks = take_waiting(job, most);
+        if (job.spec.gang && tasks.size() != job.spec.count) continue;
+        std::vector<std::pair<std::uint32_t, MachineIx>> on;
+        for (std::size_t i = 0; i < tasks.size(); ++i) on.emplace_back(tasks[i], start.machines[i]);
+        if (!start_allowed(job, on, now)) {
+            ++applied.refused;
+            continue;
+        }
+        const auto attempt = settings_.token * 10'000'000 + ++attempts_;
+        std::string line = "place " + job.id + " attempt " + std::to_string(attempt) + " on";
+        for (auto [task, mix] : on) {
+            Hold h;
+            h.job = start.job;
+            h.task = task;
+            h.attempt = attempt;
+            h.machine = mix;
+            h.session = machines_[mix].session;
+            h.since = now;
+            while (job.next_fresh <= task) job.again.insert(job.next_fresh++);
+            job.again.erase(task);
+            new_hold(h);
+            mark_dirty(job, task);
+            if (line.size() < 200) line += " " + machines_[mix].name;
+        }
+        applied.lines.push_back(std::move(line));
+        ++applied.starts;
+    }
+    for (auto [hix, attempt] : plan.stops) {
+        if (hix >= holds_.size() || holds_[hix].attempt != attempt || holds_[hix].stop) continue;
+        const Hold& h = holds_[hix];
+        const JobSpec& spec = jobs_[h.job].spec;
+        // Saving is worth its time only if more than that would be lost.
+        const bool save = spec.checkpoint_s > 0 && h.phase == TaskPhase::Running &&
+                          spec.checkpoint_s / 2 > spec.save_s;
+        applied.lines.push_back("preempt " + jobs_[h.job].id + "/" + std::to_string(h.task));
+        stop_with_gang(hix, save ? spec.save_s : 0, now);
+        ++applied.stops;
+    }
+    for (auto mix : plan.returns) {
+        Machine& machine = machines_[mix];
+        if (machine.life != Machine::Life::Up || !machine.holds.empty()) continue;
+        machine.life = Machine::Life::Returning;
+        applied.lines.push_back("idle machine " + machine.name + " is returned");
+    }
+    applied.rents = plan.rents;
+    return applied;
+}
+
+std::vector<std::pair<std::string, Cluster::Counts>> Cluster::job_counts() const {
+    std::vector<std::pair<std::string, Counts>> out;
+    for (const auto& [jix, job] : jobs_) {
+        if (job.over) continue;
+        Counts counts{job.done, 0};
+        for (const auto& [task, hix] : job.holds) {
+            if (holds_[hix].phase == TaskPhase::Running) ++counts.running;
+        }
+        if (counts.done + counts.running > 0) out.emplace_back(job.id, counts);
+    }
+    return out;
+}
+
+std::size_t Cluster::machine_count() const {
+    return static_cast<std::size_t>(
+        std::count_if(machines_.begin(), machines_.end(),
+                      [](const Machine& m) { return m.life != Machine::Life::Gone; }));
+}
+
+}  // namespace lichendrift::core
--- /dev/null
+++ b/src/core/cluster.h
@@ -0,0 +1,255 @@
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "core/planner.h"
+#include "core/types.h"
+
+namespace lichendrift::core {
+
+struct ClusterSettings {
+    std::vector<Team> teams;
+    std::uint64_t token = 0;
+    Millis report_ms = 2000;
+    Millis lease_ms = 10000;
+    Millis cancel_ms = 30000;
+    double gang_peer_s = 4;
+    std::uint32_t chunk_tasks = 100;  // tasks of an array in one place record
+    PlannerTuning tuning;
+};
+
+// One attempt of one task that counts as being on a machine (see docs/design.md, "When a task
+// is off a machine").
+struct Hold {
+    enum class State : std::uint8_t {
+        Planned,  // its record is not durable yet, so nothing was sent
+        Ready,    // durable, to be sent
+        Sent,     // a run was sent, no report shows the outcome yet
+        Seen,     // a report showed it, or an earlier leader may have started it
+    };
+    JobIx job = kNone;
+    std::uint32_t task = 0;
+    std::uint64_t attempt = 0;
+    MachineIx machine = kNone;
+    std::uint64_t session = 0;
+    State state = State::Planned;
+    TaskPhase phase = TaskPhase::Pulling;
+    bool reported = false;  // a report of this leader's time showed it alive
+    bool stray = false;     // on a machine without being what we placed there
+    bool stop = false;      // to be halted
+    double grace_s = 0;
+    bool direct_doubt = false;      // a direct run without an answer: a copy may come late
+    std::uint64_t direct_open = 0;  // direct runs under way
+    std::uint64_t beat_seq = 0;     // newest beat whose answer carried the run
+    Millis since = 0;
+    Millis running_since = 0;
+    Millis stop_since = 0;
+};
+
+struct Machine {
+    enum class Life : std::uint8_t { Booting, Up, Returning, Gone };
+    std::string name;
+    std::string endpoint;
+    TypeIx type = kNone;
+    ZoneIx zone = kNone;
+    bool spot = false;
+    Life life = Life::Booting;
+    bool synced = false;     // its newest report carries this leader's token
+    bool drain = false;      // no new work; returned when empty
+    bool condemned = false;  // drained because it is faulty
+    bool listed = false;
+    bool failed = false;
+    std::uint64_t session = 0;
+    std::uint64_t seq = 0;
+    std::optional<Millis> taken_at;  // spot notice: when the cloud takes it
+    Millis first_seen = 0;
+    Millis rented_at = 0;
+    Millis heard_at = 0;
+    Millis idle_since = 0;
+    Millis return_asked = 0;
+    Room used;
+    std::vector<HoldIx> holds;
+    std::vector<ImageIx> images;  // most recent last
+    std::set<JobIx> failed_jobs;  // failures since its last success
+    Millis quarantine_until = 0;
+    std::set<std::tuple<std::string, std::uint32_t, std::uint64_t>> no_reap;
+};
+
+struct Chunk {
+    std::uint64_t rev = 0;  // revision of the record; 0: none
+    std::uint64_t nonce = 0;
+    bool dirty = false;
+    bool writing = false;
+    Millis retry_at = 0;
+};
+
+struct Job {
+    std::string id;
+    JobSpec spec;
+    JobText text;
+    std::uint64_t open_rev = 0;
+    bool over = false;  // cancelled or done: only waits for its tasks to be gone
+    bool aborted = false;
+    bool finishing = false;  // its final word is being written
+    Millis finish_retry_at = 0;
+    std::uint32_t done = 0;
+    std::vector<std::uint8_t> done_flags;
+    std::uint32_t next_fresh = 0;   // tasks from here on were never tried
+    std::set<std::uint32_t> again;  // tasks before next_fresh that wait
+    std::multimap<std::uint32_t, HoldIx> holds;
+    std::map<std::uint32_t, Chunk> chunks;
+    Millis waiting_since = 0;
+    Millis retry_at = 0;
+    std::uint32_t failures = 0;
+    std::set<MachineIx> failed_on;
+    bool in_guarantee = false;
+};
+
+struct ChunkWrite {
+    JobIx job = kNone;
+    std::uint32_t chunk = 0;
+    std::string job_id;
+    std::uint64_t rev = 0;
+    PlaceRecord record;
+};
+
+struct FinalWrite {
+    JobIx job = kNone;
+    std::string job_id;
+    std::uint64_t open_rev = 0;
+    std::vector<std::uint32_t> chunks;
+    bool with_job = false;  // tasks may still be on machines: the final word keeps the job
+};
+
+struct BeatOutcome {
+    bool superseded = false;  // a higher token was seen
+    bool changed = false;     // worth planning again
+};
+
+// The leading controller's picture and the gate that every decision passes. Pure: events and a
+// time go in, orders and records to write come out.
+class Cluster {
+  public:
+    Cluster(ClusterSettings settings, Names& types, Names& zones);
+
+    // What the region told.
+    void set_types(const std::vector<MachineType>& types);
+    void add_job(const JobText& text, std::uint64_t open_rev, Millis now, bool over = false);
+    void load_record(const std::string& job_id, std::uint32_t chunk, const PlaceRecord& record,
+                     std::uint64_t rev, Millis now);
+    void job_over(const std::string& job_id, bool aborted, Millis now);
+    BeatOutcome on_report(const Report& report, bool is_beat, Millis now);
+    void on_list(const std::vector<ListedMachine>& page, Millis now);
+    void on_list_complete(const std::set<std::string>& names, Millis now);
+    void on_rented(const std::string& type, const std::string& zone, bool spot,
+                   const std::vector<std::string>& names, Millis now);
+    void on_refused(TypeIx type, ZoneIx zone, bool spot, Millis now);
+
+    // Orders for the answer to a beat, or for a direct command. `may_start` is false while the
+    // leader cannot be sure that it still leads.
+    std::vector<Order> beat_orders(const std::string& machine, std::uint64_t seq, bool may_start,
+                                   Millis now);
+    struct Direct {
+        std::string machine;
+        std::string endpoint;
+        std::uint64_t session = 0;
+        std::vector<Order> orders;
+    };
+    std::vector<std::string> machines_with_orders(bool may_start) const;
+    Direct direct_orders(const std::string& machine, bool may_start, Millis now);
+    enum class DirectResult : std::uint8_t { Executed, NotExecuted, NoAnswer };
+    void direct_result(const Direct& direct, DirectResult result);
+    std::vector<std::pair<std::string, std::string>> unsynced_machines() const;  // name, endpoint
+
+    // Records to write, and what came of it.
+    std::vector<ChunkWrite> next_chunk_writes(std::size_t most, std::size_t most_bytes, Millis now);
+    void chunk_written(const ChunkWrite& write, bool ok, std::uint64_t rev, Millis now);
+    void chunk_reread(const ChunkWrite& write, std::uint64_t rev, std::uint64_t nonce, Millis now);
+    std::optional<FinalWrite> next_final_write(std::size_t most_chunks, Millis now);
+    void final_written(const FinalWrite& write, bool ok, Millis now);
+    std::vector<std::string> next_orphans(std::size_t most);  // records nobody needs any more
+    void orphans_removed(const std::vector<std::string>& keys, bool ok);
+    void add_orphan(const std::string& key) { orphans_.push_back(key); }
+
+    // Machines to give back, and what came of it.
+    std::vector<std::string> next_returns(std::size_t most, Millis now);
+    void returned(const std::vector<std::string>& names, bool ok, Millis now);
+
+    // Planning.
+    Snapshot snapshot(Millis now, std::int64_t wall_ms);
+    // Applies what still holds; everything that is not allowed by now is left out.
+    struct Applied {
+        std::uint32_t starts = 0;
+        std::uint32_t stops = 0;
+        std::uint32_t refused = 0;
+        std::vector<Rent> rents;
+        std::vector<std::string> lines;  // for the log, formatted outside the lock
+    };
+    Applied apply(const Plan& plan, Millis now);
+    // Time passes: silent machines, patience, boots that never come.
+    std::vector<std::string> tick(Millis now);
+
+    struct Counts {
+        std::uint32_t done = 0;
+        std::uint32_t running = 0;
+    };
+    [[nodiscard]] std::vector<std::pair<std::string, Counts>> job_counts() const;
+    [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
+    [[nodiscard]] std::size_t machine_count() const;
+    [[nodiscard]] const std::map<JobIx, Job>& jobs() const { return jobs_; }
+    [[nodiscard]] const std::vector<Machine>& machines() const { return machines_; }
+    [[nodiscard]] std::uint64_t token() const { return settings_.token; }
+    [[nodiscard]] bool has_job(const std::string& id) const { return job_ids_.contains(id); }
+
+  private:
+    MachineIx machine_for(const std::string& name, const std::string& type, const std::string& zone,
+                          bool spot, Millis now);
+    HoldIx new_hold(const Hold& hold);
+    void release(HoldIx ix, bool requeue, Millis now);
+    void release_all(MachineIx machine, std::uint64_t below_session, Millis now);
+    void mark_done(JobIx job, std::uint32_t task);
+    void mark_dirty(Job& job, std::uint32_t task);
+    void stop_hold(HoldIx ix, double grace_s, Millis now);
+    void stop_with_gang(HoldIx ix, double grace_s, Millis now);
+    void on_exit(HoldIx ix, const TaskReport& task, Millis now);
+    void note_failure(Job& job, MachineIx machine, Millis now);
+    void note_image(Machine& machine, ImageIx image);
+    void drop_if_gone(JobIx ix);
+    void notice(MachineIx ix, double notice_s, Millis now);
+    bool start_allowed(const Job& job, const std::vector<std::pair<std::uint32_t, MachineIx>>& on,
+                       Millis now) const;
+    [[nodiscard]] bool usable(const Machine& machine, Millis now) const;
+    [[nodiscard]] std::uint32_t waiting(const Job& job) const;
+    std::vector<std::uint32_t> take_waiting(const Job& job, std::uint32_t most) const;
+    [[nodiscard]] Hold& hold(HoldIx ix) { return holds_[ix]; }
+    void append_orders(MachineIx ix, bool direct, std::uint64_t beat_seq, bool may_start,
+                       std::vector<Order>& out, Millis now);
+    void fill_guarantees();
+
+    ClusterSettings settings_;
+    Names& types_;
+    Names& zones_;
+    Names images_;
+    Names classes_;
+    Names teams_;
+    std::vector<Team> team_list_;
+    std::vector<Room> team_used_;
+    std::vector<MachineType> type_info_;
+    std::map<JobIx, Job> jobs_;
+    JobIx next_job_ = 0;
+    std::unordered_map<std::string, JobIx> job_ids_;
+    std::vector<Machine> machines_;
+    std::unordered_map<std::string, MachineIx> machine_ids_;
+    std::vector<Hold> holds_;
+    std::vector<HoldIx> free_holds_;
+    std::set<std::pair<JobIx, std::uint32_t>> dirty_;  // records to write
+    std::vector<std::string> orphans_;
+    std::vector<std::string> orphans_writing_;
+    std::map<std::tuple<TypeIx, ZoneIx, bool>, std::pair<Millis, Millis>> refused_;  // until, step
+    std::uint64_t attempts_ = 0;
+    std::uint64_t nonces_ = 0;
+    std::unordered_map<std::string, std::vector<TaskReport>> exited_;  // machine -> to reap
+};
+
+}  // namespace lichendrift::core
--- /dev/null
+++ b/src/core/planner.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <map>
+#include <tuple>
+
+#include "core/types.h"
+
+namespace lichendrift::core {
+
+// What placement looks at of a job, with names as indices.
+struct JobSpec {
+    ClassIx cls = kNone;
+    TeamIx team = kNone;
+    bool gang = false;
+    Priority priority = Priority::Normal;
+    std::uint32_t count = 1;
+    Room need;
+    ImageIx image = kNone;
+    double image_gb = 0;
+    std::uint64_t types = ~0ULL;  // one bit for each type
+    ZoneIx zone = kNone;
+    bool one_zone = false;
+    bool apart = false;
+    bool spot = false;
+    double estimate_s = 0;
+    double checkpoint_s = 0;
+    double save_s = 0;
+    std::optional<double> deadline_s;
+    std::int64_t submitted_ms = 0;
+};
+
+struct PlannerTuning {
+    double image_weight = 4.0;     // the image is there
+    double fetching_weight = 2.0;  // the image is being fetched there
+    double fit_weight = 3.0;       // tightest fit
+    double price_weight = 1.0;     // dear machines are taken last
+    Millis starving_ms = 60000;    // a gang that waits longer gets a claim
+    Millis idle_keep_ms = 75000;
+    std::uint32_t spare_machines = 1;
+    double rent_patience_s = 20;
+};
+
+struct MachineView {
+    MachineIx ix = kNone;
+    TypeIx type = kNone;
+    ZoneIx zone = kNone;
+    bool spot = false;
+    bool usable = false;   // up, heard from, may take work
+    bool booting = false;  // will be usable
+    Room room;             // in all
+    Room free;             // counting all that may be on it
+    Millis idle_ms = 0;    // since when nothing is on it
+    Millis age_ms = 0;
+    double boot_left_s = 0;
+    std::vector<ImageIx> images;
+    std::vector<ImageIx> fetching;
+};
+
+struct HoldView {
+    HoldIx ix = kNone;
+    std::uint64_t attempt = 0;
+    MachineIx machine = kNone;
+    JobIx job = kNone;
+    bool stopping = false;
+    double left_s = 0;  // estimated rest
+    double lost_s = 0;  // work lost if stopped now
+};
+
+struct ItemView {  // a job with tasks that wait
+    JobIx job = kNone;
+    std::uint32_t waiting = 0;
+    bool in_guarantee = false;
+    bool blocked = false;  // backing off: asks for no room now
+    Millis waited_ms = 0;
+    double slack_s = 0;                      // until its deadline, less its estimate
+    ZoneIx zone = kNone;                     // where its other tasks are, with one_zone
+    std::vector<std::uint32_t> zone_counts;  // with apart
+    std::vector<MachineIx> avoid;
+};
+
+struct JobView {
+    JobSpec spec;
+    bool in_guarantee = false;
+};
+
+struct Snapshot {
+    Millis now = 0;
+    PlannerTuning tuning;
+    std::vector<MachineView> machines;
+    std::vector<HoldView> holds;
+    std::vector<ItemView> items;
+    std::map<JobIx, JobView> jobs;
+    std::vector<Room> team_used;
+    std::vector<Team> teams;
+    std::vector<MachineType> types;
+    std::vector<std::vector<ZoneIx>> type_zones;
+    std::size_t zones = 0;
+    std::vector<std::tuple<TypeIx, ZoneIx, bool>> refused;
+};
+
+struct Start {
+    JobIx job = kNone;
+    std::vector<MachineIx> machines;  // one for each task
+};
+
+struct Rent {
+    TypeIx type = kNone;
+    ZoneIx zone = kNone;
+    bool spot = false;
+    std::uint32_t number = 0;
+};
+
+struct Plan {
+    std::vector<Start> starts;
+    std::vector<std::pair<HoldIx, std::uint64_t>> stops;  // with the attempt meant
+    std::vector<Rent> rents;
+    std::vector<MachineIx> returns;
+};
+
+// The placement rule of the design: each gang whole per candidate zone, tightest fit, victims of
+// lower rank when it must; like tasks as a class. Pure and deterministic.
+Plan make_plan(const Snapshot& snapshot);
+
+}  // namespace lichendrift::core
--- /dev/null
+++ b/src/net/event_loop.cpp
@@ -0,0 +1,128 @@
+#include "net/event_loop.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <ctime>
+#include <system_error>
+
+namespace lichendrift::net {
+
+void Fd::reset() {
+    if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+}
+
+EventLoop::EventLoop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), wake_(::eventfd(0, EFD_NONBLOCK)) {
+    if (!epoll_.valid() || !wake_.valid()) {
+        throw std::system_error(errno, std::generic_category(), "epoll");
+    }
+    now_ = clock();
+    add(wake_.get(), EPOLLIN, [this](std::uint32_t) {
+        std::uint64_t count = 0;
+        while (::read(wake_.get(), &count, sizeof count) > 0) {
+        }
+        run_posted();
+    });
+}
+
+Millis EventLoop::clock() {
+    timespec ts{};
+    ::clock_gettime(CLOCK_MONOTONIC, &ts);
+    return static_cast<Millis>(ts.tv_sec) * 1000 + ts.tv_nsec / 1'000'000;
+}
+
+void EventLoop::add(int fd, std::uint32_t events, Handler handler) {
+    epoll_event event{};
+    event.events = events;
+    event.data.fd = fd;
+    handlers_[fd] = std::make_shared<Handler>(std::move(handler));
+    if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0) {
+        handlers_.erase(fd);
+        throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+    }
+}
+
+void EventLoop::modify(int fd, std::uint32_t events) {
+    epoll_event event{};
+    event.events = events;
+    event.data.fd = fd;
+    ::epoll_ctl(epoll_.get(), EPOLL_CTL_MOD, fd, &event);
+}
+
+void EventLoop::remove(int fd) {
+    ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+    handlers_.erase(fd);
+}
+
+EventLoop::TimerId EventLoop::after(Millis delay, std::function<void()> fn) {
+    const auto id = ++next_timer_;
+    const auto at = now_ + std::max<Millis>(delay, 0);
+    timers_.emplace(std::pair(at, id), std::move(fn));
+    timer_times_.emplace(id, at);
+    return id;
+}
+
+void EventLoop::cancel(TimerId id) {
+    auto it = timer_times_.find(id);
+    if (it == timer_times_.end()) return;
+    timers_.erase({it->second, id});
+    timer_times_.erase(it);
+}
+
+void EventLoop::post(std::function<void()> fn) {
+    {
+        std::scoped_lock lock(mutex_);
+        posted_.push_back(std::move(fn));
+    }
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto n = ::write(wake_.get(), &one, sizeof one);
+}
+
+void EventLoop::run_posted() {
+    std::vector<std::function<void()>> work;
+    {
+        std::scoped_lock lock(mutex_);
+        work.swap(posted_);
+    }
+    for (auto& fn : work) fn();
+}
+
+void EventLoop::run_timers() {
+    // Timers set by these timers wait for the next turn, so that sockets get theirs.
+    const auto last = next_timer_;
+    while (!timers_.empty()) {
+        auto it = timers_.begin();
+        if (it->first.first > now_ || it->first.second > last) break;
+        auto fn = std::move(it->second);
+        timer_times_.erase(it->first.second);
+        timers_.erase(it);
+        fn();
+    }
+}
+
+void EventLoop::run() {
+    std::array<epoll_event, 64> events{};
+    while (!stopped_) {
+        now_ = clock();
+        int wait = 1000;
+        if (!timers_.empty()) {
+            wait =
+                static_cast<int>(std::clamp<Millis>(timers_.begin()->first.first - now_, 0, 1000));
+        }
+        const int n = ::epoll_wait(epoll_.get(), events.data(), events.size(), wait);
+        now_ = clock();
+        for (int i = 0; i < n; ++i) {
+            const auto& event = events[static_cast<std::size_t>(i)];
+            auto it = handlers_.find(event.data.fd);
+            if (it == handlers_.end()) continue;
+            const auto handler = it->second;  // it may remove itself
+            (*handler)(event.events);
+        }
+        run_timers();
+    }
+}
+
+}  // namespace lichendrift::net
--- /dev/null
+++ b/src/net/event_loop.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/types.h"
+
+namespace lichendrift::net {
+
+using core::Millis;
+
+class Fd {
+  public:
+    Fd() = default;
+    explicit Fd(int fd) : fd_(fd) {}
+    Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    Fd& operator=(Fd&& other) noexcept {
+        if (this != &other) {
+            reset();
+            fd_ = std::exchange(other.fd_, -1);
+        }
+        return *this;
+    }
+    ~Fd() { reset(); }
+    void reset();
+    [[nodiscard]] int get() const { return fd_; }
+    [[nodiscard]] bool valid() const { return fd_ >= 0; }
+
+  private:
+    int fd_ = -1;
+};
+
+// One thread's epoll loop with timers. Only post() may be called from other threads.
+class EventLoop {
+  public:
+    using Handler = std::function<void(std::uint32_t events)>;
+    using TimerId = std::uint64_t;
+
+    EventLoop();
+    void add(int fd, std::uint32_t events, Handler handler);
+    void modify(int fd, std::uint32_t events);
+    void remove(int fd);
+    TimerId after(Millis delay, std::function<void()> fn);
+    void cancel(TimerId id);
+    void post(std::function<void()> fn);
+    void run();
+    void stop() { stopped_ = true; }
+    [[nodiscard]] Millis now() const { return now_; }
+    static Millis clock();
+
+  private:
+    void run_timers();
+    void run_posted();
+
+    Fd epoll_;
+    Fd wake_;
+    Millis now_ = 0;
+    bool stopped_ = false;
+    std::unordered_map<int, std::shared_ptr<Handler>> handlers_;
+    std::map<std::pair<Millis, TimerId>, std::function<void()>> timers_;
+    std::unordered_map<TimerId, Millis> timer_times_;
+    TimerId next_timer_ = 0;
+    std::mutex mutex_;
+    std::vector<std::function<void()>> posted_;
+};
+
+}  // namespace lichendrift::net
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,234 @@
+#include "net/http_client.h"
+
+#include <http_parser.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+
+namespace lichendrift::net {
+
+namespace {
+
+constexpr std::size_t kMostPerAddress = 48;
+constexpr std::size_t kMostIdle = 6;
+constexpr Millis kIdleTime = 20000;
+constexpr std::size_t kMostBody = 8 << 20;
+
+}  // namespace
+
+class HttpClient::Connection : public std::enable_shared_from_this<Connection> {
+  public:
+    Connection(HttpClient& client, std::string address, Fd fd)
+        : client_(client), address_(std::move(address)), fd_(std::move(fd)) {}
+
+    void open() {
+        client_.loop_.add(
+            fd_.get(), EPOLLIN | EPOLLOUT,
+            [self = shared_from_this()](std::uint32_t events) { self->on_events(events); });
+    }
+
+    void start(const HttpRequest& request, Millis deadline, OnReply on_reply) {
+        on_reply_ = std::move(on_reply);
+        reply_ = {};
+        complete_ = false;
+        wrote_ = false;
+        http_parser_init(&parser_, HTTP_RESPONSE);
+        parser_.data = this;
+        out_ = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
+        if (!request.body.empty()) {
+            out_ += "Content-Type: application/json\r\n";
+        }
+        if (request.method != "GET") {
+            out_ += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+        }
+        out_ += "\r\n";
+        out_ += request.body;
+        timer_ = client_.loop_.after(deadline, [weak = weak_from_this()] {
+            if (auto self = weak.lock()) self->fail();
+        });
+        if (connected_) flush();
+    }
+
+    void shut() {
+        if (!fd_.valid()) return;
+        client_.loop_.remove(fd_.get());
+        fd_.reset();
+        client_.closed(address_);
+    }
+    [[nodiscard]] bool usable() const { return fd_.valid(); }
+    [[nodiscard]] Millis idle_since() const { return idle_since_; }
+
+  private:
+    static const http_parser_settings& callbacks() {
+        static const http_parser_settings settings = [] {
+            http_parser_settings s{};
+            http_parser_settings_init(&s);
+            s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+                auto& c = *static_cast<Connection*>(p->data);
+                if (c.reply_.body.size() + n > kMostBody) return 1;
+                c.reply_.body.append(at, n);
+                return 0;
+            };
+            s.on_message_complete = [](http_parser* p) {
+                auto& c = *static_cast<Connection*>(p->data);
+                c.reply_.status = static_cast<int>(p->status_code);
+                c.keep_alive_ = http_should_keep_alive(p) != 0;
+                c.complete_ = true;
+                http_parser_pause(p, 1);
+                return 0;
+            };
+            return s;
+        }();
+        return settings;
+    }
+
+    void on_events(std::uint32_t events) {
+        const auto keep = shared_from_this();
+        if (!connected_) {
+            int error = 0;
+            socklen_t size = sizeof error;
+            ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+            if (error != 0 || (events & (EPOLLERR | EPOLLHUP)) != 0) return fail();
+            if ((events & EPOLLOUT) == 0) return;
+            connected_ = true;
+            flush();
+            if (!fd_.valid()) return;
+        } else if ((events & EPOLLOUT) != 0) {
+            flush();
+            if (!fd_.valid()) return;
+        }
+        if ((events & EPOLLIN) != 0) {
+            read();
+        } else if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
+            fail();
+        }
+    }
+
+    void flush() {
+        while (!out_.empty()) {
+            const auto n = ::send(fd_.get(), out_.data(), out_.size(), MSG_NOSIGNAL);
+            if (n < 0) {
+                if (errno == EAGAIN || errno == EINTR) break;
+                return fail();
+            }
+            wrote_ = true;
+            out_.erase(0, static_cast<std::size_t>(n));
+        }
+        client_.loop_.modify(fd_.get(), out_.empty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
+    }
+
+    void read() {
+        std::array<char, 16384> buffer;
+        for (;;) {
+            const auto n = ::recv(fd_.get(), buffer.data(), buffer.size(), 0);
+            if (n < 0) {
+                if (errno != EAGAIN && errno != EINTR) fail();
+                return;
+            }
+            // Data or an end while nothing was asked: the connection is of no use any more.
+            if (!on_reply_) return fail();
+            http_parser_execute(&parser_, &callbacks(), buffer.data(), static_cast<std::size_t>(n));
+            if (complete_) return finish(n != 0);
+            if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || n == 0) return fail();
+            if (n < static_cast<ssize_t>(buffer.size())) return;
+        }
+    }
+
+    void finish(bool keep) {
+        client_.loop_.cancel(timer_);
+        auto done = std::move(on_reply_);
+        on_reply_ = nullptr;
+        auto reply = std::move(reply_);
+        reply_ = {};
+        auto& pool = client_.pools_[address_];
+        if (keep && keep_alive_ && pool.idle.size() < kMostIdle) {
+            idle_since_ = client_.loop_.now();
+            pool.idle.push_back(shared_from_this());
+        } else {
+            shut();
+        }
+        done(std::move(reply));
+    }
+
+    void fail() {
+        client_.loop_.cancel(timer_);
+        auto done = std::move(on_reply_);
+        on_reply_ = nullptr;
+        std::erase(client_.pools_[address_].idle, shared_from_this());
+        shut();
+        HttpReply reply;
+        reply.sent = wrote_;
+        if (done) done(std::move(reply));
+    }
+
+    HttpClient& client_;
+    std::string address_;
+    Fd fd_;
+    http_parser parser_{};
+    std::string out_;
+    HttpReply reply_;
+    OnReply on_reply_;
+    EventLoop::TimerId timer_ = 0;
+    Millis idle_since_ = 0;
+    bool connected_ = false;
+    bool wrote_ = false;
+    bool complete_ = false;
+    bool keep_alive_ = false;
+};
+
+HttpClient::HttpClient(EventLoop& loop, SocketBudget& budget) : loop_(loop), budget_(budget) {
+    loop_.after(5000, [this] { sweep(); });
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::fail_soon(OnReply on_reply) {
+    loop_.after(0, [on_reply = std::move(on_reply)] {
+        HttpReply reply;
+        reply.sent = false;
+        on_reply(std::move(reply));
+    });
+}
+
+void HttpClient::closed(const std::string& address) {
+    --budget_.open;
+    --pools_[address].open;
+}
+
+void HttpClient::call(const std::string& address, const HttpRequest& request, Millis deadline,
+                      OnReply on_reply) {
+    auto& pool = pools_[address];
+    while (!pool.idle.empty()) {
+        auto connection = std::move(pool.idle.back());
+        pool.idle.pop_back();
+        if (!connection->usable()) continue;
+        connection->start(request, deadline, std::move(on_reply));
+        return;
+    }
+    if (pool.open >= kMostPerAddress || budget_.open + 8 >= budget_.most) {
+        return fail_soon(std::move(on_reply));
+    }
+    auto fd = connect_to(address);
+    if (!fd.valid()) return fail_soon(std::move(on_reply));
+    ++pool.open;
+    ++budget_.open;
+    auto connection = std::make_shared<Connection>(*this, address, std::move(fd));
+    connection->open();
+    connection->start(request, deadline, std::move(on_reply));
+}
+
+void HttpClient::sweep() {
+    for (auto& [address, pool] : pools_) {
+        while (!pool.idle.empty() && loop_.now() - pool.idle.front()->idle_since() > kIdleTime) {
+            auto connection = std::move(pool.idle.front());
+            pool.idle.pop_front();
+            connection->shut();
+        }
+    }
+    std::erase_if(pools_, [](const auto& entry) { return entry.second.open == 0; });
+    loop_.after(5000, [this] { sweep(); });
+}
+
+}  // namespace lichendrift::net
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+#include "net/event_loop.h"
+#include "net/http_server.h"
+#include "net/port.h"
+
+namespace lichendrift::net {
+
+// HTTP/1.1 client with kept connections: one request at a time on each, a deadline for every
+// request. A connection whose request was given up is closed, never used again.
+class HttpClient {
+  public:
+    HttpClient(EventLoop& loop, SocketBudget& budget);
+    ~HttpClient();
+    void call(const std::string& address, const HttpRequest& request, Millis deadline,
+              OnReply on_reply);
+
+  private:
+    class Connection;
+    struct Pool {
+        std::deque<std::shared_ptr<Connection>> idle;
+        std::size_t open = 0;
+    };
+    void fail_soon(OnReply on_reply);
+    void closed(const std::string& address);
+    void sweep();
+
+    EventLoop& loop_;
+    SocketBudget& budget_;
+    std::unordered_map<std::string, Pool> pools_;
+};
+
+}  // namespace lichendrift::net
--- /dev/null
+++ b/src/net/port.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "core/planner.h"
+#include "core/types.h"
+
+// What the controller needs of the world. The daemon gives it sockets and timers, the tests
+// give it virtual time.
+namespace lichendrift::net {
+
+using core::Millis;
+
+struct HttpRequest {
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+struct HttpReply {
+    int status = 0;  // 0: no answer
+    std::string body;
+    bool sent = true;  // with no answer: false if the request certainly never left
+};
+
+struct HttpResponse {
+    int status = 200;
+    std::string body;
+    int retry_after_s = 0;
+    bool close = false;
+    bool cbor = false;
+};
+
+using Respond = std::function<void(HttpResponse)>;
+using OnReply = std::function<void(HttpReply)>;
+using TimerId = std::uint64_t;
+
+class Port {
+  public:
+    virtual ~Port() = default;
+    virtual Millis now() = 0;            // steady
+    virtual std::int64_t wall_ms() = 0;  // time of day
+    virtual std::uint64_t random() = 0;
+    // Calls back exactly once, at the deadline at the latest, never from inside call().
+    virtual void call(const std::string& address, HttpRequest request, Millis deadline,
+                      OnReply on_reply) = 0;
+    virtual TimerId after(Millis delay, std::function<void()> fn) = 0;
+    virtual void cancel(TimerId id) = 0;
+    // Runs both away from the loop, then `done` on the loop.
+    virtual void plan(std::function<core::Snapshot()> take,
+                      std::function<void(core::Plan)> done) = 0;
+};
+
+}  // namespace lichendrift::net
--- /dev/null
+++ b/src/store/store_client.cpp
@@ -0,0 +1,221 @@
+#include "store/store_client.h"
+
+#include <algorithm>
+
+namespace lichendrift::store {
+
+namespace {
+
+constexpr std::size_t kMostQueued = 400;
+constexpr Millis kTimeout = 1500;
+constexpr std::size_t kPageItems = 200;
+
+Outcome plain_outcome(const net::HttpReply& reply) {
+    if (reply.status == 0) return reply.sent ? Outcome::Unknown : Outcome::Refused;
+    if (reply.status == 200) return Outcome::Ok;
+    if (reply.status == 404 || reply.status == 410) return Outcome::Missing;
+    if (reply.status == 409) return Outcome::Conflict;
+    if (reply.status == 429 || reply.status == 503 || reply.status == 400) return Outcome::Refused;
+    return Outcome::Unknown;
+}
+
+}  // namespace
+
+StoreClient::StoreClient(net::Port& port, StoreSettings settings)
+    : port_(port), settings_(std::move(settings)) {
+    filled_at_ = port_.now();
+    last_good_ = port_.now();
+    set_share(share_);
+    tokens_ = share_ * settings_.rps * 0.5;
+    write_tokens_ = share_ * settings_.write_rps * 0.5;
+}
+
+void StoreClient::set_share(double share) { share_ = share; }
+
+void StoreClient::refill() {
+    const auto now = port_.now();
+    const double s = static_cast<double>(now - filled_at_) / 1000.0;
+    filled_at_ = now;
+    const double rate = share_ * settings_.rps;
+    const double write_rate = share_ * settings_.write_rps;
+    tokens_ = std::min(tokens_ + s * rate, std::max(rate * 0.5, 2.0));
+    // The bucket must hold a whole transaction, or it could never be sent.
+    write_tokens_ = std::min(write_tokens_ + s * write_rate,
+                             std::max(write_rate * 0.5, static_cast<double>(settings_.txn_ops)));
+}
+
+void StoreClient::send(Lane lane, net::HttpRequest request, std::size_t writes, Millis timeout,
+                       net::OnReply done) {
+    auto& queue = queues_[static_cast<std::size_t>(lane)];
+    if (queue.size() >= kMostQueued) {
+        port_.after(0, [done = std::move(done)] { done({0, {}, false}); });
+        return;
+    }
+    queue.push_back({std::move(request), static_cast<double>(writes),
+                     port_.now() + std::min<Millis>(timeout, kTimeout), timeout, std::move(done)});
+    pump();
+}
+
+void StoreClient::pump() {
+    refill();
+    const auto now = port_.now();
+    Millis wait = 0;
+    for (std::size_t lane = 0; lane < queues_.size(); ++lane) {
+        auto& queue = queues_[lane];
+        while (!queue.empty()) {
+            if (queue.front().expires <= now) {
+                auto done = std::move(queue.front().done);
+                queue.pop_front();
+                port_.after(0, [done = std::move(done)] { done({0, {}, false}); });
+                continue;
+            }
+            const double writes = queue.front().writes;
+            // Leadership may go a little into debt: a late renewal costs more than a 429.
+            const double floor = lane == 0 ? -3.0 : 0.0;
+            if (tokens_ - 1 < floor || (writes > 0 && write_tokens_ - writes < floor) ||
+                (lane > 0 && now < pause_until_)) {
+                wait = 20;
+                break;
+            }
+            tokens_ -= 1;
+            write_tokens_ -= writes;
+            auto pending = std::move(queue.front());
+            queue.pop_front();
+            launch(std::move(pending));
+        }
+        if (wait > 0) break;
+    }
+    if (wait > 0 && !timer_) {
+        timer_ = true;
+        port_.after(wait, [this, alive = std::weak_ptr<bool>(alive_)] {
+            if (alive.expired()) return;
+            timer_ = false;
+            pump();
+        });
+    }
+}
+
+void StoreClient::launch(Pending pending) {
+    const auto number = ++next_open_;
+    const bool counted = pending.timeout <= kTimeout;  // long watches may stay silent
+    if (counted) open_.emplace_back(number, port_.now());
+    port_.call(settings_.address, std::move(pending.request), pending.timeout,
+               [this, number, counted, done = std::move(pending.done),
+                alive = std::weak_ptr<bool>(alive_)](net::HttpReply reply) {
+                   if (alive.expired()) return;
+                   if (counted) {
+                       std::erase_if(open_, [&](const auto& o) { return o.first == number; });
+                   }
+                   note(reply.status);
+                   done(std::move(reply));
+               });
+}
+
+void StoreClient::note(int status) {
+    const auto now = port_.now();
+    if (status == 429) pause_until_ = now + 150;
+    if (status == 0 || status == 503) {
+        if (first_bad_ == 0) first_bad_ = now;
+    } else {
+        first_bad_ = 0;
+        last_good_ = now;
+    }
+}
+
+bool StoreClient::responsive() const {
+    const auto now = port_.now();
+    if (first_bad_ != 0 && now - first_bad_ > 300) return false;
+    return open_.empty() || now - open_.front().second < 700;
+}
+
+Millis StoreClient::failing_for() const { return first_bad_ == 0 ? 0 : port_.now() - first_bad_; }
+
+void StoreClient::get(Lane lane, const std::string& key, OnItem done) {
+    send(lane, {"GET", "/store/" + key, ""}, 0, kTimeout,
+         [done = std::move(done), key](net::HttpReply reply) {
+             auto outcome = plain_outcome(reply);
+             if (outcome != Outcome::Ok) return done(outcome, {});
+             auto item = wire::parse_item(reply.body);
+             if (!item) return done(Outcome::Unknown, {});
+             done(Outcome::Ok, std::move(*item));
+         });
+}
+
+void StoreClient::list(Lane lane, const std::string& prefix, const std::string& since,
+                       OnPage done) {
+    std::string target = "/store?prefix=" + prefix;
+    if (!since.empty()) target += "&since=" + since;
+    target += "&limit=" + std::to_string(kPageItems);
+    send(lane, {"GET", std::move(target), ""}, 0, kTimeout,
+         [done = std::move(done)](net::HttpReply reply) {
+             auto outcome = plain_outcome(reply);
+             if (outcome != Outcome::Ok) return done(outcome, {});
+             auto page = wire::parse_items(reply.body);
+             if (!page) return done(Outcome::Unknown, {});
+             done(Outcome::Ok, std::move(*page));
+         });
+}
+
+void StoreClient::txn(Lane lane, const std::vector<wire::Condition>& when,
+                      const std::vector<wire::Change>& then, OnTxn done) {
+    send(lane, {"POST", "/txn", wire::txn_body(when, then)}, then.size(), kTimeout,
+         [done = std::move(done)](net::HttpReply reply) {
+             TxnResult result;
+             result.outcome = plain_outcome(reply);
+             if (result.outcome == Outcome::Ok) {
+                 const auto rev = wire::parse_revision(reply.body);
+                 if (rev) {
+                     result.revision = *rev;
+                 } else {
+                     result.outcome = Outcome::Unknown;
+                 }
+             } else if (result.outcome == Outcome::Conflict) {
+                 if (auto failed = wire::parse_failed(reply.body)) result.failed = *failed;
+             } else if (result.outcome == Outcome::Missing) {
+                 result.outcome = Outcome::Refused;
+             }
+             done(std::move(result));
+         });
+}
+
+void StoreClient::grant(Millis ttl, OnGrant done) {
+    const auto sent = port_.now();
+    send(Lane::Leadership, {"POST", "/grants", wire::grant_body(static_cast<std::uint64_t>(ttl))},
+         0, 1000, [done = std::move(done), sent](net::HttpReply reply) {
+             auto outcome = plain_outcome(reply);
+             const auto id = wire::parse_grant(reply.body);
+             if (outcome == Outcome::Ok && !id) outcome = Outcome::Unknown;
+             done(outcome, id.value_or(0), sent);
+         });
+}
+
+void StoreClient::touch(std::uint64_t grant, OnGrant done) {
+    const auto sent = port_.now();
+    send(Lane::Leadership, {"POST", "/grants/" + std::to_string(grant) + "/touch", ""}, 0, 1000,
+         [done = std::move(done), grant, sent](net::HttpReply reply) {
+             done(plain_outcome(reply), grant, sent);
+         });
+}
+
+void StoreClient::drop_grant(std::uint64_t grant) {
+    send(Lane::Leadership, {"DELETE", "/grants/" + std::to_string(grant), ""}, 0, 1000,
+         [](const net::HttpReply&) {});
+}
+
+void StoreClient::watch(Lane lane, const std::string& prefix, std::uint64_t since, Millis block,
+                        OnPage done) {
+    send(lane,
+         {"GET",
+          "/watch?prefix=" + prefix + "&since=" + std::to_string(since) +
+              "&blockMs=" + std::to_string(block),
+          ""},
+         0, block == 0 ? kTimeout : block + 3000, [done = std::move(done)](net::HttpReply reply) {
+             auto outcome = plain_outcome(reply);
+             if (outcome != Outcome::Ok) return done(outcome, {});
+             auto page = wire::parse_changes(reply.body);
+             if (!page) return done(Outcome::Unknown, {});
+             done(Outcome::Ok, std::move(*page));
+         });
+}
+
+}  // namespace lichendrift::store
--- /dev/null
+++ b/src/store/store_client.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "net/port.h"
+#include "wire/json_messages.h"
+
+namespace lichendrift::store {
+
+using core::Millis;
+
+// Requests of a smaller lane go first when the pace is short.
+enum class Lane : std::uint8_t { Leadership, Submit, Place, Read };
+
+enum class Outcome : std::uint8_t {
+    Ok,
+    Missing,   // no such key, lease or old enough revision (404, 410)
+    Conflict,  // a condition failed
+    Refused,   // certainly not executed
+    Unknown,   // may have been executed, or may still be
+};
+
+struct StoreSettings {
+    std::string address;
+    double rps = 50;
+    double write_rps = 20;
+    std::size_t txn_ops = 8;
+    std::size_t value_bytes = 8192;
+};
+
+struct TxnResult {
+    Outcome outcome = Outcome::Unknown;
+    std::uint64_t revision = 0;
+    std::vector<std::string> failed;
+};
+
+// Client of the state service: paced so that the nodes together stay under its limits, every
+// request with a deadline, every queue bounded.
+class StoreClient {
+  public:
+    StoreClient(net::Port& port, StoreSettings settings);
+
+    // The part of the service's limits that this node may use.
+    void set_share(double share);
+
+    using OnItem = std::function<void(Outcome, wire::Item)>;
+    using OnPage = std::function<void(Outcome, wire::ItemPage)>;
+    using OnTxn = std::function<void(TxnResult)>;
+    using OnGrant = std::function<void(Outcome, std::uint64_t, Millis sent)>;
+
+    void get(Lane lane, const std::string& key, OnItem done);
+    void list(Lane lane, const std::string& prefix, const std::string& since, OnPage done);
+    void txn(Lane lane, const std::vector<wire::Condition>& when,
+             const std::vector<wire::Change>& then, OnTxn done);
+    void grant(Millis ttl, OnGrant done);
+    void touch(std::uint64_t grant, OnGrant done);
+    void drop_grant(std::uint64_t grant);
+    void watch(Lane lane, const std::string& prefix, std::uint64_t since, Millis block,
+               OnPage done);
+
+    // False while requests go unanswered or are refused: new work is better refused at once.
+    [[nodiscard]] bool responsive() const;
+    // Since when nothing but failures came back; 0: the last answer was good.
+    [[nodiscard]] Millis failing_for() const;
+    [[nodiscard]] std::size_t txn_ops() const { return settings_.txn_ops; }
+    [[nodiscard]] std::size_t value_bytes() const { return settings_.value_bytes; }
+
+  private:
+    struct Pending {
+        net::HttpRequest request;
+        double writes = 0;
+        Millis expires = 0;
+        Millis timeout = 0;
+        net::OnReply done;
+    };
+    void send(Lane lane, net::HttpRequest request, std::size_t writes, Millis timeout,
+              net::OnReply done);
+    void pump();
+    void launch(Pending pending);
+    void refill();
+    void note(int status);
+
+    net::Port& port_;
+    StoreSettings settings_;
+    double share_ = 0.2;
+    double tokens_ = 0;
+    double write_tokens_ = 0;
+    Millis filled_at_ = 0;
+    Millis pause_until_ = 0;
+    std::array<std::deque<Pending>, 4> queues_;
+    bool timer_ = false;
+    Millis last_good_ = 0;
+    Millis first_bad_ = 0;                               // 0: no failure since the last good answer
+    std::deque<std::pair<std::uint64_t, Millis>> open_;  // requests under way, oldest first
+    std::uint64_t next_open_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace lichendrift::store
--- /dev/null
+++ b/src/wire/json_messages.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/types.h"
+
+// The JSON of users, workers, cloud and state service. The only place that knows the field names
+// of the protocol. A parser returns nothing when the message is malformed; fields that are not
+// known are ignored.
+namespace lichendrift::wire {
+
+// Users.
+bool valid_job_id(std::string_view id);
+using JobOrError = std::variant<core::JobText, std::string>;
+JobOrError parse_submission(std::string_view body);
+std::string job_answer(std::string_view id, std::string_view state);
+std::string job_answer(std::string_view id, std::string_view state, std::uint32_t done,
+                       std::uint32_t running);
+std::string error_body(std::string_view reason);
+
+// Workers.
+std::optional<core::Report> parse_report(std::string_view body);
+std::string orders_body(std::uint64_t token, const std::vector<core::Order>& orders);
+std::string direct_body(std::uint64_t token, std::uint64_t session,
+                        const std::vector<core::Order>& orders);
+
+// Cloud.
+std::optional<std::vector<core::MachineType>> parse_types(std::string_view body);
+std::string rental_body(std::string_view request, std::string_view type, std::string_view zone,
+                        bool spot, std::uint32_t number);
+std::optional<std::vector<std::string>> parse_rented(std::string_view body);
+std::string return_body(const std::vector<std::string>& names);
+struct Listing {
+    std::vector<core::ListedMachine> machines;
+    bool more = false;
+};
+std::optional<Listing> parse_listing(std::string_view body);
+bool is_no_capacity(std::string_view body);
+
+// State service.
+struct Condition {
+    std::string key;
+    std::uint64_t rev = 0;
+};
+struct Change {
+    std::string key;
+    std::string value;        // JSON; empty: remove
+    std::uint64_t grant = 0;  // 0: none
+};
+std::string txn_body(const std::vector<Condition>& when, const std::vector<Change>& then);
+struct Item {
+    std::string key;
+    std::string value;  // JSON; empty in a change: removed
+    std::uint64_t rev = 0;
+};
+std::optional<Item> parse_item(std::string_view body);
+std::optional<std::uint64_t> parse_revision(std::string_view body);
+struct ItemPage {
+    std::vector<Item> items;
+    bool more = false;
+    std::uint64_t revision = 0;
+};
+std::optional<ItemPage> parse_items(std::string_view body);
+std::optional<ItemPage> parse_changes(std::string_view body);
+std::optional<std::vector<std::string>> parse_failed(std::string_view body);
+std::string grant_body(std::uint64_t ttl_ms);
+std::optional<std::uint64_t> parse_grant(std::string_view body);
+
+// Values of our own in the state service.
+std::string job_value(const core::JobText& job);
+std::optional<core::JobText> parse_job_value(std::string_view id, std::string_view value);
+std::string place_value(const core::PlaceRecord& record);
+std::optional<core::PlaceRecord> parse_place_value(std::string_view value);
+struct Over {
+    bool aborted = false;
+    std::optional<core::JobText> job;
+};
+std::string over_value(bool aborted, const core::JobText* job);
+std::optional<Over> parse_over_value(std::string_view id, std::string_view value);
+struct LeaderMark {
+    std::string member;
+    std::uint64_t token = 0;
+};
+std::string leader_value(const LeaderMark& mark);
+std::optional<LeaderMark> parse_leader_value(std::string_view value);
+std::string types_value(const std::vector<core::MachineType>& types);
+
+}  // namespace lichendrift::wire
