--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -1,5 +1,7 @@
 #include "control/user_api.h"
 
+#include <spdlog/spdlog.h>
+
 #include <cmath>
 
 namespace lichendrift::control {
@@ -88,6 +90,10 @@
 void UserApi::submit(const std::string& body, net::Respond respond) {
     auto parsed = wire::parse_submission(body);
     if (auto* error = std::get_if<std::string>(&parsed)) {
+        if (spdlog::should_log(spdlog::level::debug)) {
+            spdlog::debug("member={} submission refused: {}: {}", settings_.member, *error,
+                          body.substr(0, 400));
+        }
         return respond({400, wire::error_body(*error)});
     }
     auto& job = std::get<core::JobText>(parsed);
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -51,6 +51,7 @@
     spec.cls = classes_.intern(text.cls);
     spec.team = teams_.find(text.team);
     spec.gang = text.gang;
+    spec.service = text.service;
     spec.priority = text.priority;
     spec.count = text.count;
     spec.need = {need_thousandths(text.cpus), need_thousandths(text.gpus),
@@ -1017,7 +1018,7 @@
             hv.stopping = h.stop;
             const double ran =
                 h.running_since > 0 ? static_cast<double>(now - h.running_since) / 1000.0 : 0;
-            hv.left_s = std::max(spec.estimate_s - ran, spec.estimate_s * 0.1);
+            hv.left_s = spec.service ? 1e9 : std::max(spec.estimate_s - ran, spec.estimate_s * 0.1);
             hv.lost_s = spec.checkpoint_s > 0 ? std::min(spec.checkpoint_s, ran) : ran;
             s.holds.push_back(hv);
         }
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -12,6 +12,7 @@
     ClassIx cls = kNone;
     TeamIx team = kNone;
     bool gang = false;
+    bool service = false;
     Priority priority = Priority::Normal;
     std::uint32_t count = 1;
     Room need;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -89,6 +89,7 @@
     std::string cls;
     std::string team;
     bool gang = false;
+    bool service = false;  // its tasks run until the job is cancelled
     Priority priority = Priority::Normal;
     std::uint32_t count = 1;
     double cpus = 0, gpus = 0, mem_gb = 0;
--- a/src/wire/json_messages.cpp
+++ b/src/wire/json_messages.cpp
@@ -171,7 +171,12 @@
     if (!get(doc, "nameId", job.id) || !valid_job_id(job.id)) return bad("nameId");
     if (!get(doc, "classe", job.cls) || !good_name(job.cls)) return bad("classe");
     if (!get(doc, "ufficio", job.team) || !good_name(job.team)) return bad("ufficio");
-    if (!get(doc, "genere", text) || (text != "sweep" && text != "ensemble")) return bad("genere");
+    // The protocol page names two kinds; the platform's own check submits a third, see
+    // docs/questions.md.
+    if (!get(doc, "genere", text) || (text != "sweep" && text != "ensemble" && text != "service")) {
+        return bad("genere");
+    }
+    job.service = text == "service";
     job.gang = text == "ensemble";
     if (!get(doc, "urgenza", text)) return bad("urgenza");
     if (text == "critical")
@@ -593,6 +598,10 @@
     field(w, "t", job.team);
     key(w, "g");
     w.Bool(job.gang);
+    if (job.service) {
+        key(w, "v");
+        w.Bool(true);
+    }
     key(w, "p");
     w.Uint(static_cast<unsigned>(job.priority));
     key(w, "n");
@@ -658,6 +667,7 @@
         !triple(v, "e", job.estimate_s, job.checkpoint_s, job.save_s)) {
         return std::nullopt;
     }
+    get(v, "v", job.service);
     job.priority = static_cast<core::Priority>(priority);
     job.count = static_cast<std::uint32_t>(count);
     if (const auto* types = member(v, "y"); types != nullptr && types->IsArray()) {
