--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -34,6 +34,7 @@
     cs.lease_ms = static_cast<Millis>(settings.lease_s * 1000);
     cs.cancel_ms = static_cast<Millis>(settings.cancel_s * 1000);
     cs.gang_peer_s = settings.gang_peer_s;
+    cs.guards = settings.guards;
     // A placed task takes about 50 bytes of its record; the margin is for long machine names.
     cs.chunk_tasks = std::max(8U, static_cast<std::uint32_t>(settings.state_value_kb * 1024 / 80));
     for (const auto& zone : settings.zones) shared_->zones.intern(zone);
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -77,7 +77,11 @@
     void ask_rent(std::string request, std::string type, std::string zone, core::Rent rent,
                   int tries);
     void changed();
-    wire::Condition mine() const { return {"leader", leader_rev_}; }
+    // Every write carries it, so that a late one of a leader that has lost fails.
+    wire::Condition mine() const {
+        if (!settings_.guards.leader_condition) return {"no-such-key", 0};
+        return {"leader", leader_rev_};
+    }
     bool lost(const store::TxnResult& result);
 
     net::Port& port_;
--- a/src/control/settings.h
+++ b/src/control/settings.h
@@ -49,6 +49,7 @@
     double core_share = 1;
     double mem_mb = 64;
     std::size_t max_connections = 1000;
+    core::Guards guards;  // not in the file
 };
 
 }  // namespace lichendrift::control
--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -204,6 +204,9 @@
     if (auto aborted = feed_.final_word(id)) {
         return respond({200, wire::job_answer(id, word(*aborted))});
     }
+    if (!settings_.guards.fresh_reads && feed_.open(id) != nullptr) {
+        return answer_open(id, respond);
+    }
     feed_.barrier([this, id, submission, respond = std::move(respond)](bool ok) {
         if (!ok) return refuse(respond, "the state service does not answer");
         if (feed_.open(id) != nullptr) return answer_open(id, respond);
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -397,7 +397,7 @@
         release_all(mix, report.session, now);
         outcome.changed |= before != machines_[mix].holds.size();
     }
-    const bool trusted = machines_[mix].synced;
+    const bool trusted = machines_[mix].synced || !settings_.guards.trusted_reports;
 
     std::map<std::tuple<JobIx, std::uint32_t, std::uint64_t>, const TaskReport*> seen;
     std::vector<TaskReport> exited;
@@ -626,7 +626,9 @@
                 continue;
             }
             if (h.direct_open > 0) --h.direct_open;
-            if (result == DirectResult::NoAnswer) h.direct_doubt = true;
+            if (result == DirectResult::NoAnswer && settings_.guards.doubt_holds) {
+                h.direct_doubt = true;
+            }
             if (result == DirectResult::NotExecuted && h.state == Hold::State::Sent &&
                 !h.direct_doubt && h.direct_open == 0 && h.beat_seq == 0) {
                 h.state = Hold::State::Ready;
@@ -885,6 +887,10 @@
             const auto silent = now - std::max(machine.heard_at, machine.first_seen);
             // Many silent at once is a cut of ours rather than their fault.
             if (silent > patience && heard * 2 >= up) {
+                if (!settings_.guards.silence_is_no_proof) {
+                    const auto mix = static_cast<MachineIx>(&machine - machines_.data());
+                    release_all(mix, std::numeric_limits<std::uint64_t>::max(), now);
+                }
                 machine.life = Machine::Life::Returning;
                 lines.push_back("machine " + machine.name + " silent for " +
                                 std::to_string(silent) + " ms, returned");
@@ -1114,6 +1120,7 @@
             h.machine = mix;
             h.session = machines_[mix].session;
             h.since = now;
+            if (!settings_.guards.record_first) h.state = Hold::State::Ready;
             while (job.next_fresh <= task) job.again.insert(job.next_fresh++);
             job.again.erase(task);
             new_hold(h);
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -17,6 +17,7 @@
     double gang_peer_s = 4;
     std::uint32_t chunk_tasks = 100;  // tasks of an array in one place record
     PlannerTuning tuning;
+    Guards guards;
 };
 
 // One attempt of one task that counts as being on a machine (see docs/design.md, "When a task
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -131,6 +131,17 @@
     bool stored = false;
 };
 
+// The central guards of the safety argument. All are on; the tests switch one off at a time to
+// prove that their checker would see its loss.
+struct Guards {
+    bool record_first = true;         // no run before its record is durable
+    bool trusted_reports = true;      // only reports under the leader's own token free tasks
+    bool doubt_holds = true;          // a direct run without an answer may still come
+    bool silence_is_no_proof = true;  // a silent machine's tasks stay on it until it is returned
+    bool leader_condition = true;     // writes of a leader that has lost fail
+    bool fresh_reads = true;          // users get no answer older than one given before
+};
+
 // What a worker says of its machine, in a beat or in the answer to a direct command.
 struct Report {
     std::string machine;
--- /dev/null
+++ b/tests/loopback_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- /dev/null
+++ b/tests/random_days_test.cpp
@@ -0,0 +1,88 @@
+// Seeded random days in virtual time: crashes, cuts that hold or reset, late copies, outages,
+// hanging and faulty machines. Every rule of the protocol is checked after each step, and at the
+// end everything that was accepted has to be done or cancelled.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+
+#include "standin/world.h"
+
+namespace lichendrift::standin {
+namespace {
+
+class Quiet : public ::testing::Environment {
+  public:
+    void SetUp() override {
+        spdlog::set_level(std::getenv("TEST_LOG") != nullptr ? spdlog::level::info
+                                                             : spdlog::level::off);
+    }
+};
+[[maybe_unused]] auto* const kQuiet = ::testing::AddGlobalTestEnvironment(new Quiet);
+
+constexpr std::uint64_t kSeeds = 30;
+
+TEST(RandomDays, QuietDayFinishesEverything) {
+    Options options;
+    options.seed = 5;
+    options.faults = false;
+    World world(options);
+    EXPECT_EQ(world.run(), "");
+    EXPECT_GT(world.total_starts(), 10U);
+}
+
+class RandomDay : public ::testing::TestWithParam<int> {};
+
+TEST_P(RandomDay, KeepsTheRules) {
+    for (std::uint64_t i = 0; i < kSeeds; ++i) {
+        Options options;
+        options.seed = static_cast<std::uint64_t>(GetParam()) * 1000 + i;
+        // Some days crowd the fleet, some lose far more messages.
+        if (i % 3 == 1) options.jobs = 30;
+        if (i % 3 == 2) {
+            options.lost_answer = 0.02;
+            options.late_request = 0.02;
+        }
+        World world(options);
+        EXPECT_EQ(world.run(), "") << "seed " << options.seed;
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Days, RandomDay, ::testing::Range(1, 9));
+
+// The checker has to see the loss of each central guard on some seed.
+struct Broken {
+    const char* name;
+    bool core::Guards::*guard;
+};
+class BrokenGuard : public ::testing::TestWithParam<Broken> {};
+
+TEST_P(BrokenGuard, IsCaught) {
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        Options options;
+        options.seed = seed;
+        options.jobs = 30;
+        options.restart_ms = 300;
+        options.lost_answer = 0.02;
+        options.late_request = 0.05;
+        options.guards.*GetParam().guard = false;
+        World world(options);
+        const auto broken = world.run();
+        if (!broken.empty() && !broken.starts_with("unfinished")) {
+            SUCCEED() << broken;
+            return;
+        }
+    }
+    FAIL() << "no seed shows that " << GetParam().name << " is off";
+}
+INSTANTIATE_TEST_SUITE_P(
+    Guards, BrokenGuard,
+    ::testing::Values(Broken{"record_first", &core::Guards::record_first},
+                      Broken{"trusted_reports", &core::Guards::trusted_reports},
+                      Broken{"doubt_holds", &core::Guards::doubt_holds},
+                      Broken{"silence_is_no_proof", &core::Guards::silence_is_no_proof},
+                      Broken{"leader_condition", &core::Guards::leader_condition},
+                      Broken{"fresh_reads", &core::Guards::fresh_reads}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace lichendrift::standin
--- /dev/null
+++ b/tests/standin/world.cpp
@@ -0,0 +1,1129 @@
+#include "standin/world.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace lichendrift::standin {
+
+namespace {
+
+constexpr double kLease = 8;
+constexpr double kReport = 1.0;
+constexpr double kCancel = 20;
+constexpr double kPeer = 3;
+constexpr double kGangWait = 15;
+constexpr double kCpus = 8;
+constexpr double kMem = 16;
+constexpr std::size_t kOps = 8;
+
+using Doc = rapidjson::Document;
+using Buffer = rapidjson::StringBuffer;
+using Writer = rapidjson::Writer<Buffer>;
+
+Doc parsed(const std::string& body) {
+    Doc doc;
+    doc.Parse(body.c_str(), body.size());
+    if (doc.HasParseError() || !doc.IsObject()) doc.SetObject();
+    return doc;
+}
+
+std::string json(const rapidjson::Value& v) {
+    Buffer b;
+    Writer w(b);
+    v.Accept(w);
+    return b.GetString();
+}
+
+std::string query(const std::string& target, const std::string& name) {
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos) return "";
+    const auto from = at + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+
+std::string node_name(std::size_t n) { return "n" + std::to_string(n); }
+
+std::string host_of(const std::string& address) { return address.substr(0, address.find(':')); }
+
+}  // namespace
+
+class World::NodePort : public net::Port {
+  public:
+    NodePort(World& world, std::size_t node) : world_(world), node_(node) {}
+    Millis now() override {
+        // Steady clocks drift apart.
+        return world_.now_ + world_.now_ * static_cast<Millis>(node_) / 4000;
+    }
+    std::int64_t wall_ms() override { return 1'700'000'000'000 + world_.now_; }
+    std::uint64_t random() override { return world_.rng_(); }
+    void call(const std::string& address, net::HttpRequest request, Millis deadline,
+              net::OnReply on_reply) override {
+        world_.call(node_name(node_), address, std::move(request), deadline,
+                    guard<net::HttpReply>(std::move(on_reply)));
+    }
+    net::TimerId after(Millis delay, std::function<void()> fn) override {
+        const auto id = ++next_;
+        timers_.insert(id);
+        world_.at(world_.now_ + std::max<Millis>(delay, 0),
+                  [this, id, fn = std::move(fn), alive = std::weak_ptr<bool>(alive_)] {
+                      if (alive.expired() || timers_.erase(id) == 0) return;
+                      fn();
+                  });
+        return id;
+    }
+    void cancel(net::TimerId id) override { timers_.erase(id); }
+    void plan(std::function<core::Snapshot()> take,
+              std::function<void(core::Plan)> done) override {
+        auto plan = core::make_plan(take());
+        // The planner takes its time, and the picture moves on meanwhile.
+        after(static_cast<Millis>(world_.dice(40)),
+              [plan = std::move(plan), done = std::move(done)] { done(plan); });
+    }
+
+  private:
+    template <typename T>
+    std::function<void(T)> guard(std::function<void(T)> fn) {
+        return [fn = std::move(fn), alive = std::weak_ptr<bool>(alive_)](T value) {
+            if (!alive.expired()) fn(std::move(value));
+        };
+    }
+    World& world_;
+    std::size_t node_;
+    net::TimerId next_ = 0;
+    std::set<net::TimerId> timers_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+World::World(Options options) : options_(std::move(options)), rng_(options_.seed) {
+    nodes_.resize(3);
+    refused_until_.resize(3);
+    if (options_.teams.empty()) {
+        options_.teams = {{"core", {8000, 0, 0}, {40000, 0, 0}},
+                          {"side", {8000, 0, 0}, {24000, 0, 0}}};
+    }
+    for (std::size_t i = 0; i < 3; ++i) add_worker(i == 0 ? "a" : "b", false);
+    for (std::size_t n = 0; n < 3; ++n) boot(n);
+    for (std::size_t i = 0; i < options_.jobs; ++i) {
+        jobs_.push_back(random_job(rng_, i, options_.busy_ms));
+    }
+    at(0, [this] { tick(); });
+    if (options_.faults) at(4000, [this] { fault(); });
+}
+
+World::~World() = default;
+
+void World::at(Millis when, std::function<void()> fn) {
+    events_.push({std::max(when, now_), ++event_number_, std::move(fn)});
+}
+
+void World::advance(Millis until) {
+    while (!events_.empty() && events_.top().at <= until && broken_.empty()) {
+        auto event = events_.top();
+        events_.pop();
+        now_ = std::max(now_, event.at);
+        event.fn();
+    }
+    now_ = std::max(now_, until);
+}
+
+std::string World::run() {
+    advance(options_.busy_ms + options_.settle_ms);
+    if (!broken_.empty()) return broken_;
+    for (auto& j : jobs_) {
+        if (j.accepted < 0 || j.always_fails) continue;
+        if (j.cancelled_told < 0 && !j.done_told) {
+            fail("unfinished", j.id + " has " + std::to_string(j.done_tasks.size()) + " of " +
+                                   std::to_string(j.count) + " done");
+        }
+    }
+    if (total_starts() == 0) fail("nothing_ran", "no task was started");
+    return broken_;
+}
+
+std::uint64_t World::total_starts() const {
+    std::uint64_t n = 0;
+    for (const auto& j : jobs_) n += j.starts;
+    return n;
+}
+
+void World::fail(const std::string& rule, const std::string& what) {
+    if (broken_.empty()) {
+        broken_ = rule + ": " + what + " at " + std::to_string(now_) + " ms, seed " +
+                  std::to_string(options_.seed);
+    }
+}
+
+Job* World::job(const std::string& id) {
+    if (job_index_.size() != jobs_.size()) {
+        job_index_.clear();
+        for (std::size_t i = 0; i < jobs_.size(); ++i) job_index_[jobs_[i].id] = i;
+    }
+    auto it = job_index_.find(id);
+    return it == job_index_.end() ? nullptr : &jobs_[it->second];
+}
+
+void World::boot(std::size_t n) {
+    control::Settings s;
+    s.member = node_name(n);
+    s.location = n == 0 ? "a" : "b";
+    for (std::size_t other = 0; other < 3; ++other) {
+        if (other != n) s.siblings.push_back({node_name(other), "a", node_name(other) + ":2"});
+    }
+    s.state = "state:1";
+    s.cloud = "cloud:1";
+    s.size = 3;
+    s.zones = {"a", "b"};
+    s.teams = options_.teams;
+    s.report_s = kReport;
+    s.lease_s = kLease;
+    s.cancel_s = kCancel;
+    s.gang_peer_s = kPeer;
+    s.gang_wait_s = kGangWait;
+    s.state_rps = 150;
+    s.state_write_rps = 60;
+    s.state_txn_ops = kOps;
+    s.cloud_rps = 6;
+    s.guards = options_.guards;
+    nodes_[n].port = std::make_unique<NodePort>(*this, n);
+    nodes_[n].controller = std::make_unique<control::Controller>(*nodes_[n].port, s);
+    nodes_[n].controller->start();
+}
+
+void World::crash(std::size_t n, Millis back_after) {
+    if (!nodes_[n].controller) return;
+    nodes_[n].controller.reset();
+    nodes_[n].port.reset();
+    std::erase_if(watches_, [&](const Watch& w) { return w.from == node_name(n); });
+    at(now_ + back_after, [this, n] { boot(n); });
+}
+
+std::optional<std::size_t> World::leader() const {
+    std::optional<std::size_t> best;
+    std::uint64_t token = 0;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+        const auto& c = nodes_[n].controller;
+        if (c && c->leading() && c->token() > token) {
+            best = n;
+            token = c->token();
+        }
+    }
+    return best;
+}
+
+// ---- network ----
+
+void World::cut(const std::string& a, const std::string& b, Millis for_ms, bool hold) {
+    cuts_.push_back({a, b, now_ + for_ms, hold});
+}
+
+void World::refuse_node(std::size_t node, Millis for_ms) { refused_until_[node] = now_ + for_ms; }
+
+const World::Cut* World::cut_between(const std::string& a, const std::string& b) const {
+    for (const auto& c : cuts_) {
+        if (c.until <= now_) continue;
+        if ((a.starts_with(c.a) && b.starts_with(c.b)) ||
+            (a.starts_with(c.b) && b.starts_with(c.a))) {
+            return &c;
+        }
+    }
+    return nullptr;
+}
+
+void World::carry(const std::string& from, const std::string& to, Millis extra,
+                  std::function<void()> deliver, std::function<void()> reset) {
+    if (const auto* c = cut_between(from, to)) {
+        if (c->hold) {
+            at(c->until + 1 + static_cast<Millis>(dice(5)), std::move(deliver));
+        } else {
+            at(now_ + 2, std::move(reset));
+        }
+        return;
+    }
+    at(now_ + 1 + static_cast<Millis>(dice(4)) + extra, std::move(deliver));
+}
+
+void World::call(const std::string& from, const std::string& to, net::HttpRequest request,
+                 Millis deadline, net::OnReply on_reply) {
+    auto open = std::make_shared<net::OnReply>(std::move(on_reply));
+    const auto finish = [open](net::HttpReply reply) {
+        if (!*open) return;
+        auto fn = std::move(*open);
+        *open = nullptr;
+        fn(std::move(reply));
+    };
+    at(now_ + deadline, [finish] { finish({0, "", true}); });
+    const auto host = host_of(to);
+    const bool to_node = host.size() == 2 && host[0] == 'n';
+    if (to_node && !nodes_[static_cast<std::size_t>(host[1] - '0')].controller) {
+        if (chance(0.5)) at(now_ + 2, [finish] { finish({0, "", false}); });
+        return;
+    }
+    Millis extra = 0;
+    if (options_.faults && chance(options_.late_request) && now_ < options_.busy_ms) {
+        extra = 1000 + static_cast<Millis>(dice(20000));
+    }
+    const auto reset = [finish] { finish({0, "", true}); };
+    carry(from, host, extra,
+          [this, from, to, host, finish, reset, request = std::move(request)] {
+              serve(host_of(from), to, request,
+                    [this, from, host, finish, reset](net::HttpResponse response) {
+                        if (options_.faults && now_ < options_.busy_ms &&
+                            chance(options_.lost_answer)) {
+                            return;
+                        }
+                        carry(host, from, 0,
+                              [finish, response] { finish({response.status, response.body}); },
+                              reset);
+                    });
+          },
+          reset);
+}
+
+void World::serve(const std::string& from, const std::string& to, const net::HttpRequest& request,
+                  net::Respond respond) {
+    const auto host = host_of(to);
+    if (host == "state") return serve_state(from, request, std::move(respond));
+    if (host == "cloud") return serve_cloud(request, std::move(respond));
+    if (host.size() == 2 && host[0] == 'n') {
+        auto& node = nodes_[static_cast<std::size_t>(host[1] - '0')];
+        if (!node.controller) return;
+        if (to.ends_with(":2")) return node.controller->handle_peer(request, std::move(respond));
+        return node.controller->handle(request, std::move(respond));
+    }
+    auto it = workers_.find(host);
+    if (it == workers_.end() || it->second.gone || !it->second.up) return;
+    Worker& worker = it->second;
+    if (worker.hung_until > now_) {
+        worker.held.push_back([this, host, request, respond] {
+            serve_worker(workers_.at(host), request, respond);
+        });
+        return;
+    }
+    serve_worker(worker, request, std::move(respond));
+}
+
+net::HttpReply World::ask(std::size_t node, net::HttpRequest request, Millis wait_ms) {
+    std::optional<net::HttpReply> out;
+    call("user", node_name(node) + ":1", std::move(request), wait_ms,
+         [&](net::HttpReply reply) { out = std::move(reply); });
+    const auto end = now_ + wait_ms + 10;
+    while (!out && now_ < end && broken_.empty()) advance(now_ + 1);
+    return out.value_or(net::HttpReply{});
+}
+
+// ---- state service ----
+
+void World::apply(const std::string& key, const std::string& value, std::uint64_t grant) {
+    if (value.empty()) {
+        store_.erase(key);
+        key_grant_.erase(key);
+    } else {
+        store_[key] = {value, revision_};
+        if (grant != 0) {
+            key_grant_[key] = grant;
+        } else {
+            key_grant_.erase(key);
+        }
+    }
+    changes_.push_back({key, value, revision_});
+}
+
+void World::answer_watch(const Watch& watch) {
+    Buffer b;
+    Writer w(b);
+    w.StartObject();
+    w.Key("registro");
+    w.Uint64(revision_);
+    w.Key("news");
+    w.StartArray();
+    for (const auto& change : changes_) {
+        if (change.rev <= watch.since || !change.key.starts_with(watch.prefix)) continue;
+        w.StartObject();
+        w.Key(change.value.empty() ? "remove" : "set");
+        w.String(change.key.c_str());
+        if (!change.value.empty()) {
+            w.Key("value");
+            w.RawValue(change.value.c_str(), change.value.size(), rapidjson::kObjectType);
+        }
+        w.Key("timbro");
+        w.Uint64(change.rev);
+        w.EndObject();
+    }
+    w.EndArray();
+    w.EndObject();
+    watch.respond({200, b.GetString()});
+}
+
+void World::wake_watches() {
+    if (now_ < outage_until_) return;
+    std::vector<Watch> due;
+    std::erase_if(watches_, [&](const Watch& watch) {
+        if (watch.from[0] == 'n' && refused_until_[static_cast<std::size_t>(
+                                        watch.from[1] - '0')] > now_) {
+            return false;
+        }
+        const bool news = std::any_of(changes_.rbegin(), changes_.rend(), [&](const Change& c) {
+            return c.rev > watch.since && c.key.starts_with(watch.prefix);
+        });
+        if (!news && watch.until > now_) return false;
+        due.push_back(watch);
+        return true;
+    });
+    for (const auto& watch : due) answer_watch(watch);
+}
+
+void World::serve_state(const std::string& from, const net::HttpRequest& request,
+                        net::Respond respond) {
+    if (now_ < outage_until_ ||
+        (from.size() == 2 && refused_until_[static_cast<std::size_t>(from[1] - '0')] > now_)) {
+        return respond({503, "{}"});
+    }
+    const auto& target = request.target;
+    const auto doc = parsed(request.body);
+    const auto item = [](const std::string& key, const auto& entry) {
+        return R"({"path":")" + key + R"(","value":)" + entry.first + R"(,"timbro":)" +
+               std::to_string(entry.second) + "}";
+    };
+    if (target.starts_with("/store/")) {
+        auto it = store_.find(target.substr(7));
+        if (it == store_.end()) {
+            return respond({404, R"({"registro":)" + std::to_string(revision_) + "}"});
+        }
+        return respond({200, item(it->first, it->second)});
+    }
+    if (target.starts_with("/store?")) {
+        const auto prefix = query(target, "prefix");
+        const auto since = query(target, "since");
+        const std::size_t limit = std::stoul(query(target, "limit"));
+        std::string items;
+        std::size_t n = 0;
+        bool more = false;
+        for (auto it = since.empty() ? store_.lower_bound(prefix) : store_.upper_bound(since);
+             it != store_.end() && it->first.starts_with(prefix); ++it) {
+            if (n++ == limit) {
+                more = true;
+                break;
+            }
+            items += (items.empty() ? "" : ",") + item(it->first, it->second);
+        }
+        return respond({200, R"({"items":[)" + items + R"(],"more":)" + (more ? "true" : "false") +
+                                 R"(,"registro":)" + std::to_string(revision_) + "}"});
+    }
+    if (target.starts_with("/watch?")) {
+        const auto block = std::stoll(query(target, "blockMs"));
+        watches_.push_back({query(target, "prefix"), std::stoull(query(target, "since")),
+                            now_ + block, from, std::move(respond)});
+        at(now_ + block, [this] { wake_watches(); });
+        return wake_watches();
+    }
+    if (target == "/grants") {
+        const auto ttl = static_cast<Millis>(doc["ttlMs"].GetUint64());
+        grants_[++next_grant_] = {ttl, now_ + ttl};
+        return respond({200, R"({"concessione":)" + std::to_string(next_grant_) + "}"});
+    }
+    if (target.starts_with("/grants/")) {
+        const auto id = std::stoull(target.substr(8));
+        auto it = grants_.find(id);
+        if (it == grants_.end()) return respond({404, "{}"});
+        if (request.method == "DELETE") {
+            it->second.second = now_;
+        } else {
+            it->second.second = now_ + it->second.first;
+        }
+        return respond({200, R"({"concessione":)" + std::to_string(id) + "}"});
+    }
+    if (target == "/txn") {
+        const auto& then = doc.HasMember("then") ? doc["then"] : rapidjson::Value(rapidjson::kArrayType);
+        const auto& when = doc["when"];
+        if (then.Size() > kOps || when.Size() > 4 * kOps || request.body.size() > 65536) {
+            fail("state_limits", "a transaction is too large");
+            return respond({400, "{}"});
+        }
+        most_writes_ = std::max(most_writes_, writes_in_second_[now_ / 1000] += then.Size());
+        std::string failed;
+        for (const auto& c : when.GetArray()) {
+            const std::string key = c["path"].GetString();
+            auto it = store_.find(key);
+            const auto rev = it == store_.end() ? 0 : it->second.second;
+            if (rev != c["timbro"].GetUint64()) {
+                failed += (failed.empty() ? "\"" : ",\"") + key + "\"";
+            }
+        }
+        const auto registro = [&] { return R"("registro":)" + std::to_string(revision_) + "}"; };
+        for (const auto& c : then.GetArray()) {
+            if (c.HasMember("concessione") && !grants_.contains(c["concessione"].GetUint64())) {
+                return respond({400, R"({"error":"no such lease"})"});
+            }
+            if (c.HasMember("value") && json(c["value"]).size() > 8192) {
+                fail("state_limits", "a value is too large");
+                return respond({400, "{}"});
+            }
+        }
+        if (!failed.empty()) {
+            return respond({409, R"({"failed":[)" + failed + "]," + registro()});
+        }
+        if (then.Size() > 0) ++revision_;
+        for (const auto& c : then.GetArray()) {
+            if (c.HasMember("set")) {
+                apply(c["set"].GetString(), json(c["value"]),
+                      c.HasMember("concessione") ? c["concessione"].GetUint64() : 0);
+            } else {
+                apply(c["remove"].GetString(), "", 0);
+            }
+        }
+        respond({200, "{" + registro()});
+        return wake_watches();
+    }
+    respond({400, "{}"});
+}
+
+// ---- cloud ----
+
+void World::add_worker(const std::string& zone, bool spot) {
+    Worker w;
+    char name[32];
+    std::snprintf(name, sizeof name, "host-%06llu",
+                  static_cast<unsigned long long>(next_worker_++));
+    w.name = name;
+    w.type = "box";
+    w.zone = zone;
+    w.spot = spot;
+    w.rented_at = now_;
+    w.up_at = now_ == 0 ? 0 : now_ + boot_ms_ / 2 + static_cast<Millis>(dice(
+                                        static_cast<std::uint64_t>(boot_ms_)));
+    w.never = now_ > 0 && chance(0.04);
+    w.sick = options_.faults && chance(0.06);
+    w.node = dice(3);
+    workers_[w.name] = w;
+}
+
+void World::serve_cloud(const net::HttpRequest& request, net::Respond respond) {
+    if (now_ < cloud_outage_until_) return respond({503, R"({"error":"trouble"})"});
+    const auto doc = parsed(request.body);
+    if (request.target == "/flavors") {
+        return respond({200, R"({"modelli":[{"label":"box","cpus":8,"gpus":0,"memGb":16,)"
+                             R"("localGb":100,"fetchGbPerS":1.0,"hourly":4.0,"lowPrice":1.0,)"
+                             R"("startupS":6,"sedi":["a","b"]}]})"});
+    }
+    if (request.target == "/rentals") {
+        const std::string name = doc["richiesta"].GetString();
+        auto [it, fresh] = rentals_.try_emplace(name);
+        if (fresh) {
+            const auto alive = std::count_if(workers_.begin(), workers_.end(),
+                                             [](const auto& w) { return !w.second.gone; });
+            const auto room = capacity_ - static_cast<int>(alive);
+            const auto n = std::min<int>(room, doc["number"].GetInt());
+            if (n <= 0) {
+                rentals_.erase(it);
+                return respond({503, R"({"error":"no capacity"})"});
+            }
+            for (int i = 0; i < n; ++i) {
+                add_worker(doc["sede"].GetString(), doc["inPrestito"].GetBool());
+                it->second.push_back(workers_.rbegin()->first);
+            }
+        }
+        std::string names;
+        for (const auto& n : it->second) names += (names.empty() ? "\"" : ",\"") + n + "\"";
+        return respond({200, R"({"banchi":[)" + names + "]}"});
+    }
+    if (request.target == "/rentals/return") {
+        for (const auto& n : doc["banchi"].GetArray()) {
+            auto it = workers_.find(n.GetString());
+            if (it != workers_.end()) lose_worker(it->second);
+        }
+        return respond({200, "{}"});
+    }
+    // The list lags and at times goes back.
+    const auto lag = static_cast<Millis>(2000 + dice(2000));
+    std::string items;
+    for (const auto& [name, w] : workers_) {
+        if (w.gone || w.rented_at > now_ - lag) continue;
+        items += (items.empty() ? "" : ",") + std::string(R"({"nameId":")") + name +
+                 R"(","endpoint":")" + name + R"(:9","modello":"box","sede":")" + w.zone +
+                 R"(","inPrestito":)" + (w.spot ? "true" : "false") + R"(,"stato":")" +
+                 (w.up ? "running" : "starting") + R"(","ageS":)" +
+                 std::to_string(static_cast<double>(now_ - w.rented_at) / 1000) + "}";
+    }
+    respond({200, R"({"banchi":[)" + items + R"(],"more":false})"});
+}
+
+void World::lose_worker(Worker& worker) {
+    worker.gone = true;
+    worker.up = false;
+    worker.tasks.clear();
+    worker.held.clear();
+}
+
+// ---- workers ----
+
+std::string World::report(Worker& worker) {
+    Buffer b;
+    Writer w(b);
+    w.StartObject();
+    const auto text = [&](const char* key, const std::string& value) {
+        w.Key(key);
+        w.String(value.c_str());
+    };
+    text("banco", worker.name);
+    text("endpoint", worker.name + ":9");
+    text("modello", worker.type);
+    text("sede", worker.zone);
+    w.Key("inPrestito");
+    w.Bool(worker.spot);
+    w.Key("turno");
+    w.Uint64(worker.session);
+    w.Key("protocollo");
+    w.Uint64(++worker.seq);
+    w.Key("delega");
+    w.Uint64(worker.token);
+    if (worker.taken_at >= 0) {
+        w.Key("preavvisoS");
+        w.Double(std::max(0.0, static_cast<double>(worker.taken_at - now_) / 1000));
+    }
+    w.Key("prove");
+    w.StartArray();
+    for (const auto& t : worker.tasks) {
+        w.StartObject();
+        text("prova", t.job + "/" + std::to_string(t.task));
+        w.Key("tentativo");
+        w.Uint64(t.attempt);
+        text("stato", t.state);
+        if (t.state == "exited") {
+            text("esito", t.why);
+            w.Key("stored");
+            w.Bool(t.stored);
+        }
+        w.EndObject();
+    }
+    w.EndArray();
+    w.EndObject();
+    return b.GetString();
+}
+
+void World::orders(Worker& worker, const std::string& body) {
+    const auto doc = parsed(body);
+    if (!doc.HasMember("ordini")) return;
+    for (const auto& o : doc["ordini"].GetArray()) {
+        const std::string op = o["ordine"].GetString();
+        const std::string name = o["prova"].GetString();
+        const auto attempt = o["tentativo"].GetUint64();
+        if (op == "run") {
+            start_task(worker, name, attempt);
+        } else if (op == "halt") {
+            halt_task(worker, name, attempt, o["tolleranzaS"].GetDouble());
+        } else {
+            std::erase_if(worker.tasks, [&](const Task& t) {
+                return t.state == "exited" && t.attempt == attempt &&
+                       t.job + "/" + std::to_string(t.task) == name;
+            });
+        }
+    }
+}
+
+void World::start_task(Worker& worker, const std::string& name, std::uint64_t attempt) {
+    const auto slash = name.rfind('/');
+    Task t;
+    t.job = name.substr(0, slash);
+    t.task = static_cast<std::uint32_t>(std::stoul(name.substr(slash + 1)));
+    t.attempt = attempt;
+    double cpus = kCpus;
+    bool busy = false;
+    for (const auto& other : worker.tasks) {
+        if (other.job == t.job && other.task == t.task) {
+            if (other.attempt == attempt) return;
+            busy |= other.state != "exited";
+        }
+        if (other.state == "exited") continue;
+        if (const auto* j = job(other.job)) cpus -= j->cpus;
+    }
+    const Job* j = job(t.job);
+    worker.changed = true;
+    t.state = "exited";
+    if (j == nullptr || !j->submitted) {
+        t.why = "unknown";
+    } else if (busy) {
+        t.why = "busy";
+    } else if (j->cpus > cpus + 1e-9) {
+        t.why = "full";
+    } else {
+        check_start(worker, *j, t.task);
+        ++job(t.job)->starts;
+        t.state = "pulling";
+        t.image_at = now_ + 300 + static_cast<Millis>(dice(1500));
+        worker.tasks.push_back(t);
+        return;
+    }
+    worker.tasks.push_back(t);
+}
+
+double World::progress_of(const Task& task) {
+    const auto ran = task.run_since > 0 ? static_cast<double>(now_ - task.run_since) / 1000 : 0;
+    return task.done_before + ran;
+}
+
+void World::save_progress(const Task& task, bool all) {
+    Job& j = *job(task.job);
+    if (j.checkpoint_s <= 0 || task.run_since == 0) return;
+    const double p = progress_of(task);
+    const double kept = all ? p : std::floor(p / j.checkpoint_s) * j.checkpoint_s;
+    auto& saved = j.progress[j.kind == "ensemble" ? 0 : task.task];
+    saved = std::max(saved, kept);
+}
+
+void World::exit_task(Worker& worker, Task& task, const std::string& why, bool stored) {
+    if (why != "done") save_progress(task, stored);
+    task.state = "exited";
+    task.why = why;
+    task.stored = stored;
+    worker.changed = true;
+    if (why == "done") job(task.job)->done_tasks.insert(task.task);
+}
+
+void World::halt_task(Worker& worker, const std::string& name, std::uint64_t attempt,
+                      double grace) {
+    for (auto& t : worker.tasks) {
+        if (t.attempt != attempt || t.job + "/" + std::to_string(t.task) != name) continue;
+        if (t.state == "exited") continue;
+        const Job& j = *job(t.job);
+        if (t.state == "running" && j.checkpoint_s > 0 && grace >= j.save_s) {
+            t.state = "saving";
+            t.save_until = now_ + static_cast<Millis>(j.save_s * 1000);
+            worker.changed = true;
+        } else if (t.state != "saving" || grace == 0) {
+            exit_task(worker, t, "halted", false);
+        }
+    }
+}
+
+void World::serve_worker(Worker& worker, const net::HttpRequest& request, net::Respond respond) {
+    if (worker.gone || !worker.up) return;
+    if (request.target == "/show") return respond({200, report(worker)});
+    const auto doc = parsed(request.body);
+    if (!doc.HasMember("delega") || !doc.HasMember("turno")) return respond({400, "{}"});
+    if (doc["delega"].GetUint64() < worker.token ||
+        doc["turno"].GetUint64() != worker.session) {
+        return respond({409, report(worker)});
+    }
+    if (doc["delega"].GetUint64() > worker.token) worker.changed = true;
+    worker.token = doc["delega"].GetUint64();
+    orders(worker, request.body);
+    respond({200, report(worker)});
+}
+
+void World::beat(Worker& worker) {
+    worker.in_flight = true;
+    worker.changed = false;
+    worker.last_beat = now_;
+    worker.next_beat =
+        now_ + static_cast<Millis>(kReport * 1000 * (0.75 + 0.5 * static_cast<double>(dice(1000)) /
+                                                                1000));
+    const auto name = worker.name;
+    const auto sent = now_;
+    const auto session = worker.session;
+    call(name, node_name(worker.node) + ":1", {"POST", "/agent/beat", report(worker)}, 4000,
+         [this, name, sent, session](const net::HttpReply& reply) {
+             Worker& w = workers_.at(name);
+             if (w.gone) return;
+             const auto act = [this, name, sent, session, reply] {
+                 Worker& me = workers_.at(name);
+                 me.in_flight = false;
+                 if (me.gone || me.session != session) return;
+                 if (reply.status != 200) {
+                     me.node = (me.node + 1) % 3;
+                     me.next_beat = now_ + 1000;
+                     return;
+                 }
+                 if (now_ - sent > 4000) return;
+                 const auto doc = parsed(reply.body);
+                 if (!doc.HasMember("delega") || doc["delega"].GetUint64() < me.token) return;
+                 if (doc["delega"].GetUint64() > me.token) me.changed = true;
+                 me.token = doc["delega"].GetUint64();
+                 me.answered_sent = std::max(me.answered_sent, sent);
+                 orders(me, reply.body);
+             };
+             if (w.hung_until > now_) {
+                 w.held.push_back(act);
+             } else {
+                 act();
+             }
+         });
+}
+
+void World::worker_tick(Worker& worker) {
+    if (worker.gone) return;
+    if (worker.taken_at >= 0 && now_ >= worker.taken_at) return lose_worker(worker);
+    if (!worker.up) {
+        if (worker.never || now_ < worker.up_at) return;
+        worker.up = true;
+        worker.answered_sent = now_;
+    }
+    if (worker.hung_until > now_) return;
+    if (now_ - worker.answered_sent > static_cast<Millis>(kLease * 1000)) {
+        for (auto& t : worker.tasks) {
+            if (t.state == "running" || t.state == "saving") save_progress(t, false);
+        }
+        worker.tasks.clear();
+        ++worker.session;
+        worker.answered_sent = now_;
+        worker.changed = true;
+        worker.in_flight = false;
+    }
+    for (auto held = std::move(worker.held); auto& fn : held) fn();
+    worker.held.clear();
+    for (auto& t : worker.tasks) {
+        Job& j = *job(t.job);
+        const bool gang = j.kind == "ensemble";
+        if (t.state == "pulling" && now_ >= t.image_at) {
+            if (j.done_tasks.contains(t.task)) {
+                exit_task(worker, t, "done", false);
+                continue;
+            }
+            t.state = gang ? "gathering" : "running";
+            t.lonely_since = now_;
+            t.done_before = j.progress[gang ? 0 : t.task];
+            if (!gang) t.run_since = now_;
+            worker.changed = true;
+        }
+        if (t.state == "gathering") {
+            if (now_ - t.lonely_since > static_cast<Millis>(kGangWait * 1000)) {
+                exit_task(worker, t, "alone", false);
+                continue;
+            }
+            std::uint32_t ready = 0;
+            for (auto& [name, other] : workers_) {
+                for (auto& o : other.tasks) {
+                    ready += o.job == t.job && o.attempt == t.attempt && o.state == "gathering";
+                }
+            }
+            if (ready == j.count) {
+                for (auto& [name, other] : workers_) {
+                    for (auto& o : other.tasks) {
+                        if (o.job == t.job && o.attempt == t.attempt && o.state == "gathering") {
+                            o.state = "running";
+                            o.run_since = now_;
+                            o.lonely_since = now_;
+                            other.changed = true;
+                        }
+                    }
+                }
+            }
+        }
+        if (gang && (t.state == "running" || t.state == "saving")) {
+            std::uint32_t there = 0;
+            for (auto& [name, other] : workers_) {
+                if (other.hung_until > now_) continue;
+                for (auto& o : other.tasks) {
+                    there += o.job == t.job && o.attempt == t.attempt &&
+                             (o.state == "running" || o.state == "saving" ||
+                              (o.state == "exited" && o.why == "done"));
+                }
+            }
+            if (there == j.count) {
+                t.lonely_since = now_;
+            } else if (now_ - t.lonely_since > static_cast<Millis>(kPeer * 1000)) {
+                exit_task(worker, t, "peers", false);
+                continue;
+            }
+        }
+        if (t.state == "saving" && now_ >= t.save_until) {
+            exit_task(worker, t, "halted", true);
+            continue;
+        }
+        if (t.state == "running") {
+            if ((worker.sick || j.always_fails) && now_ - t.run_since > 1000) {
+                exit_task(worker, t, "error", false);
+            } else if (progress_of(t) >= j.run_s) {
+                if (gang) {
+                    for (auto& [name, other] : workers_) {
+                        for (auto& o : other.tasks) {
+                            if (o.job == t.job && o.attempt == t.attempt && o.state == "running") {
+                                exit_task(other, o, "done", false);
+                            }
+                        }
+                    }
+                } else {
+                    exit_task(worker, t, "done", false);
+                }
+            }
+        }
+    }
+    const bool due = now_ >= worker.next_beat || (worker.changed && now_ - worker.last_beat >= 500);
+    if (!worker.in_flight && due) beat(worker);
+}
+
+// ---- users ----
+
+void World::submit(Job& j) {
+    j.submitted = true;
+    Buffer b;
+    Writer w(b);
+    w.StartObject();
+    const auto text = [&](const char* key, const std::string& value) {
+        w.Key(key);
+        w.String(value.c_str());
+    };
+    const auto number = [&](const char* key, double value) {
+        w.Key(key);
+        w.Double(value);
+    };
+    const auto flag = [&](const char* key, bool value) {
+        w.Key(key);
+        w.Bool(value);
+    };
+    text("nameId", j.id);
+    text("classe", "any");
+    text("ufficio", j.team);
+    text("genere", j.kind);
+    text("urgenza", j.priority);
+    w.Key("prove");
+    w.Uint(j.count);
+    number("cpus", j.cpus);
+    number("gpus", 0);
+    number("memGb", j.mem);
+    text("fascicolo", "img");
+    number("imageGb", 1);
+    if (j.zone) text("sede", *j.zone);
+    flag("oneZone", j.one_zone);
+    flag("apart", j.apart);
+    flag("inPrestito", j.spot);
+    number("durataS", j.run_s * 1.3);
+    number("salvataggioOgniS", j.checkpoint_s);
+    number("salvataggioS", j.save_s);
+    w.EndObject();
+    const auto id = j.id;
+    call("user", node_name(dice(3)) + ":1", {"POST", "/v2/runs", b.GetString()}, 5000,
+         [this, id](const net::HttpReply& reply) {
+             Job& me = *job(id);
+             if (reply.status == 201 || reply.status == 200) {
+                 if (me.accepted < 0) me.accepted = now_;
+                 const std::string state = parsed(reply.body)["stato"].GetString();
+                 if (me.cancelled_told >= 0 && state != "aborted") fail("went_back", id);
+                 return;
+             }
+             if (reply.status == 400 || reply.status == 422) {
+                 if (me.accepted >= 0) fail("forgotten", id + " refused after acceptance");
+                 return;
+             }
+             if (now_ < me.give_up_submit) {
+                 at(now_ + 1000, [this, id] { submit(*job(id)); });
+             }
+         });
+}
+
+void World::cancel(Job& j) {
+    const auto id = j.id;
+    if (j.cancel_asked < 0) j.cancel_asked = now_;
+    call("user", node_name(dice(3)) + ":1", {"POST", "/v2/runs/" + id + "/cancel", ""}, 5000,
+         [this, id](const net::HttpReply& reply) {
+             Job& me = *job(id);
+             if (reply.status == 200) {
+                 const std::string state = parsed(reply.body)["stato"].GetString();
+                 if (state == "aborted") {
+                     if (me.done_told) fail("went_back", id + " cancelled after done");
+                     if (me.cancelled_told < 0) me.cancelled_told = now_;
+                 } else if (state == "done") {
+                     if (me.cancelled_told >= 0) fail("went_back", id + " done after cancelled");
+                     me.done_told = true;
+                 } else {
+                     fail("went_back", id + " answers a cancel with " + state);
+                 }
+                 return;
+             }
+             if (reply.status == 404 && me.accepted >= 0) fail("forgotten", id + " at cancel");
+             if (reply.status != 404) at(now_ + 1000, [this, id] { cancel(*job(id)); });
+         });
+}
+
+void World::poll(Job& j) {
+    const auto id = j.id;
+    const bool accepted = j.accepted >= 0;
+    const bool cancelled = j.cancelled_told >= 0;
+    const bool done = j.done_told;
+    call("user", node_name(dice(3)) + ":1", {"GET", "/v2/runs/" + id, ""}, 2000,
+         [this, id, accepted, cancelled, done](const net::HttpReply& reply) {
+             Job& me = *job(id);
+             if (reply.status == 404) {
+                 if (accepted) fail("forgotten", id + " gets 404");
+                 return;
+             }
+             if (reply.status != 200) return;
+             if (!me.submitted) fail("invented", id);
+             const std::string state = parsed(reply.body)["stato"].GetString();
+             if (state == "done") {
+                 if (me.done_tasks.size() < me.count) fail("not_done", id);
+                 if (cancelled) fail("went_back", id + " done after cancelled");
+                 me.done_told = true;
+             } else if (state == "aborted") {
+                 if (me.cancel_asked < 0) fail("went_back", id + " cancelled by nobody");
+                 if (done) fail("went_back", id + " cancelled after done");
+                 if (me.cancelled_told < 0) me.cancelled_told = now_;
+             } else if (cancelled || done) {
+                 fail("went_back", id + " is " + state + " again");
+             }
+         });
+}
+
+void World::user_tick(Job& j) {
+    if (!j.submitted && now_ >= j.submit_at) {
+        j.give_up_submit = now_ + 60000;
+        submit(j);
+    }
+    if (j.cancel_at >= 0 && j.cancel_asked < 0 && now_ >= j.cancel_at && j.accepted >= 0) {
+        cancel(j);
+    }
+    const auto phase = static_cast<Millis>(std::hash<std::string>{}(j.id) % 20) * 100;
+    if (now_ % 2000 == phase) poll(j);
+}
+
+// ---- rules ----
+
+void World::check_start(const Worker& worker, const Job& j, std::uint32_t task) {
+    if (j.cancelled_told >= 0 && now_ - j.cancelled_told > static_cast<Millis>(kCancel * 1000)) {
+        fail("ran_cancelled", j.id + " starts");
+    }
+    if (worker.spot && !j.spot) fail("wrong_place", j.id + " on a spot machine");
+    if (j.zone && worker.zone != *j.zone) fail("wrong_place", j.id + " in zone " + worker.zone);
+    std::map<std::string, std::uint32_t> zones{{worker.zone, 1}};
+    for (const auto& [name, other] : workers_) {
+        for (const auto& t : other.tasks) {
+            if (t.job != j.id || t.state == "exited") continue;
+            if (t.task == task && name != worker.name) {
+                fail("ran_twice", j.id + "/" + std::to_string(task) + " on " + name + " and " +
+                                      worker.name);
+            }
+            ++zones[other.zone];
+        }
+    }
+    if (j.one_zone && zones.size() > 1) fail("wrong_place", j.id + " in two zones");
+    if (j.apart) {
+        for (const auto& [zone, n] : zones) {
+            if (n > (j.count + 1) / 2) fail("wrong_place", j.id + " is not apart");
+        }
+    }
+}
+
+void World::check() {
+    std::map<std::string, double> used;
+    for (const auto& [name, w] : workers_) {
+        for (const auto& t : w.tasks) {
+            if (t.state == "exited") continue;
+            const Job& j = *job(t.job);
+            used[j.team] += j.cpus;
+            if (j.cancelled_told >= 0 &&
+                now_ - j.cancelled_told > static_cast<Millis>(kCancel * 1000)) {
+                fail("ran_cancelled", j.id + " is still on " + name);
+            }
+        }
+    }
+    for (const auto& team : options_.teams) {
+        const auto limit = static_cast<double>(team.limit.cpus) / 1000;
+        if (limit > 0 && used[team.name] > limit + 1e-9) fail("quota", team.name);
+    }
+}
+
+void World::tick() {
+    for (auto& [id, grant] : grants_) {
+        // Leases do not run out during an outage and have their full time again after it.
+        if (now_ < outage_until_) grant.second = std::max(grant.second, outage_until_ + grant.first);
+    }
+    std::vector<std::uint64_t> ended;
+    for (auto& [id, grant] : grants_) {
+        if (now_ >= grant.second) ended.push_back(id);
+    }
+    for (auto id : ended) {
+        grants_.erase(id);
+        std::vector<std::string> keys;
+        for (auto& [key, grant] : key_grant_) {
+            if (grant == id) keys.push_back(key);
+        }
+        if (!keys.empty()) ++revision_;
+        for (const auto& key : keys) apply(key, "", 0);
+    }
+    wake_watches();
+    for (auto& [name, worker] : workers_) worker_tick(worker);
+    for (auto& j : jobs_) user_tick(j);
+    check();
+    at(now_ + 100, [this] { tick(); });
+}
+
+void World::fault() {
+    if (now_ >= options_.busy_ms) {
+        // Everything heals: what was accepted has to end.
+        for (auto& [name, w] : workers_) w.sick = false;
+        return;
+    }
+    const auto node = dice(3);
+    const auto name = node_name(node);
+    const auto span = static_cast<Millis>(2000 + dice(15000));
+    const bool hold = chance(0.5);
+    const auto random_worker = [&]() -> Worker* {
+        std::vector<Worker*> up;
+        for (auto& [n, w] : workers_) {
+            if (w.up && !w.gone) up.push_back(&w);
+        }
+        return up.empty() ? nullptr : up[dice(up.size())];
+    };
+    switch (dice(15)) {
+        case 0: crash(node, options_.restart_ms); break;
+        case 1: crash(node, 100 + static_cast<Millis>(dice(500))); break;
+        case 2:
+            for (std::size_t n = 0; n < 3; ++n) crash(n, options_.restart_ms);
+            break;
+        case 3: cut(name, "state", span, hold); break;
+        case 4: cut(name, "host", span, hold); break;
+        case 5: cut(name, "n", span, hold); break;
+        case 6: cut(name, "", span, hold); break;
+        case 7: refuse_node(node, span); break;
+        case 8: state_outage(span); break;
+        case 9: cloud_outage(span); break;
+        case 10:
+            if (auto* w = random_worker()) w->hung_until = now_ + span;
+            break;
+        case 11:
+            if (auto* w = random_worker()) w->taken_at = now_ + static_cast<Millis>(dice(8000));
+            break;
+        case 12:
+            if (auto* w = random_worker()) cut(w->name, "n", span, hold);
+            break;
+        case 13:
+            if (auto l = leader()) {
+                cut(node_name(*l), chance(0.5) ? "state" : "host", span, hold);
+            }
+            break;
+        default:
+            if (auto l = leader()) crash(*l, options_.restart_ms);
+            break;
+    }
+    at(now_ + 1500 + static_cast<Millis>(dice(7000)), [this] { fault(); });
+}
+
+Job random_job(std::mt19937_64& rng, std::size_t number, Millis busy_ms) {
+    const auto dice = [&](std::uint64_t n) { return rng() % n; };
+    Job j;
+    char id[32];
+    std::snprintf(id, sizeof id, "job-%06llu",
+                  static_cast<unsigned long long>((number * 7919 + 13) % 1'000'000));
+    j.id = id;
+    j.team = dice(3) == 0 ? "side" : "core";
+    j.kind = dice(2) == 0 ? "ensemble" : "sweep";
+    static const char* const kPriorities[] = {"low", "normal", "high", "critical"};
+    j.priority = kPriorities[dice(4)];
+    j.count = static_cast<std::uint32_t>(1 + dice(6));
+    j.cpus = 1 + static_cast<double>(dice(3));
+    j.one_zone = dice(4) == 0;
+    j.apart = !j.one_zone && dice(5) == 0;
+    j.spot = dice(4) != 0;
+    j.run_s = 3 + static_cast<double>(dice(14));
+    j.checkpoint_s = dice(3) == 0 ? 0 : 2;
+    if (dice(6) == 0) j.zone = dice(2) == 0 ? "a" : "b";
+    if (j.zone && j.apart) j.apart = false;
+    j.submit_at = static_cast<Millis>(dice(static_cast<std::uint64_t>(busy_ms)));
+    if (dice(5) == 0) j.cancel_at = j.submit_at + static_cast<Millis>(dice(25000));
+    return j;
+}
+
+}  // namespace lichendrift::standin
--- /dev/null
+++ b/tests/standin/world.h
@@ -0,0 +1,244 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/controller.h"
+
+// The region in virtual time: state service, cloud, workers, users and the network between them,
+// as the protocol page describes them, with a checker of the protocol's rules.
+namespace lichendrift::standin {
+
+using core::Millis;
+
+struct Job {
+    std::string id;
+    std::string team = "core";
+    std::string kind = "sweep";
+    std::string priority = "normal";
+    std::uint32_t count = 1;
+    double cpus = 1;
+    double mem = 1;
+    bool one_zone = false;
+    bool apart = false;
+    bool spot = true;
+    double run_s = 8;
+    double checkpoint_s = 2;
+    double save_s = 0.5;
+    std::optional<std::string> zone;
+    Millis submit_at = 0;
+    Millis cancel_at = -1;
+    bool always_fails = false;
+    // What the user knows.
+    bool submitted = false;
+    Millis accepted = -1;
+    Millis cancel_asked = -1;
+    Millis cancelled_told = -1;
+    bool done_told = false;
+    Millis give_up_submit = 0;
+    // What is true.
+    std::set<std::uint32_t> done_tasks;
+    std::map<std::uint64_t, double> progress;  // by task (gang: task 0), seconds saved
+    std::uint64_t starts = 0;
+};
+
+struct Task {
+    std::string job;
+    std::uint32_t task = 0;
+    std::uint64_t attempt = 0;
+    std::string state;  // pulling, gathering, running, saving, exited
+    std::string why;
+    bool stored = false;
+    Millis image_at = 0;
+    Millis run_since = 0;
+    double done_before = 0;
+    Millis save_until = 0;
+    Millis lonely_since = 0;
+};
+
+struct Worker {
+    std::string name;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    Millis rented_at = 0;
+    Millis up_at = 0;
+    bool up = false;
+    bool never = false;
+    bool gone = false;
+    bool sick = false;
+    Millis hung_until = 0;
+    Millis taken_at = -1;
+    std::uint64_t session = 1;
+    std::uint64_t seq = 0;
+    std::uint64_t token = 0;
+    Millis answered_sent = 0;
+    bool in_flight = false;
+    std::size_t node = 0;
+    Millis next_beat = 0;
+    bool changed = false;
+    Millis last_beat = 0;
+    std::vector<Task> tasks;
+    std::vector<std::function<void()>> held;
+};
+
+struct Options {
+    std::uint64_t seed = 1;
+    std::size_t jobs = 14;
+    Millis busy_ms = 70'000;    // jobs and faults arrive
+    Millis settle_ms = 150'000; // everything heals and has to end
+    bool faults = true;
+    double lost_answer = 0.004;
+    double late_request = 0.002;
+    Millis restart_ms = 3000;
+    core::Guards guards;        // broken variants switch one off
+    std::vector<core::Team> teams;
+};
+
+class World {
+  public:
+    explicit World(Options options);
+    ~World();
+
+    // Runs to the end; the first broken rule, or an empty text.
+    std::string run();
+    std::vector<Job>& jobs() { return jobs_; }
+    void at(Millis when, std::function<void()> fn);
+    [[nodiscard]] Millis now() const { return now_; }
+    void advance(Millis until);
+    [[nodiscard]] const std::string& broken() const { return broken_; }
+
+    // Faults and direct access for scripted tests.
+    void crash(std::size_t node, Millis back_after);
+    void cut(const std::string& a, const std::string& b, Millis for_ms, bool hold);
+    void state_outage(Millis for_ms) { outage_until_ = now_ + for_ms; }
+    void refuse_node(std::size_t node, Millis for_ms);
+    void cloud_outage(Millis for_ms) { cloud_outage_until_ = now_ + for_ms; }
+    std::map<std::string, Worker>& workers() { return workers_; }
+    void add_worker(const std::string& zone, bool spot);
+    void lose_worker(Worker& worker);
+    std::optional<std::size_t> leader() const;
+    net::HttpReply ask(std::size_t node, net::HttpRequest request, Millis wait_ms = 5000);
+    [[nodiscard]] std::uint64_t total_starts() const;
+    [[nodiscard]] bool node_up(std::size_t node) const { return nodes_[node].controller != nullptr; }
+    std::map<std::string, std::pair<std::string, std::uint64_t>>& store() { return store_; }
+    [[nodiscard]] std::size_t highest_writes() const { return most_writes_; }
+    void set_boot(Millis ms) { boot_ms_ = ms; }
+    void set_capacity(int most) { capacity_ = most; }
+    void cancel(Job& job);
+    void submit(Job& job);
+
+  private:
+    class NodePort;
+    struct Node {
+        std::unique_ptr<NodePort> port;
+        std::unique_ptr<control::Controller> controller;
+    };
+    struct Cut {
+        std::string a;
+        std::string b;
+        Millis until = 0;
+        bool hold = false;
+    };
+    struct Watch {
+        std::string prefix;
+        std::uint64_t since = 0;
+        Millis until = 0;
+        std::string from;
+        net::Respond respond;
+    };
+    struct Change {
+        std::string key;
+        std::string value;
+        std::uint64_t rev = 0;
+    };
+    using Deliver = std::function<void(net::Respond)>;
+
+    void boot(std::size_t node);
+    void call(const std::string& from, const std::string& to, net::HttpRequest request,
+              Millis deadline, net::OnReply on_reply);
+    void carry(const std::string& from, const std::string& to, Millis extra,
+               std::function<void()> deliver, std::function<void()> reset);
+    void serve(const std::string& from, const std::string& to, const net::HttpRequest& request,
+               net::Respond respond);
+    const Cut* cut_between(const std::string& a, const std::string& b) const;
+
+    void serve_state(const std::string& from, const net::HttpRequest& request,
+                     net::Respond respond);
+    void apply(const std::string& key, const std::string& value, std::uint64_t grant);
+    void wake_watches();
+    void answer_watch(const Watch& watch);
+    void serve_cloud(const net::HttpRequest& request, net::Respond respond);
+    void serve_worker(Worker& worker, const net::HttpRequest& request, net::Respond respond);
+
+    void tick();
+    void worker_tick(Worker& worker);
+    void beat(Worker& worker);
+    void orders(Worker& worker, const std::string& body);
+    std::string report(Worker& worker);
+    void start_task(Worker& worker, const std::string& name, std::uint64_t attempt);
+    void halt_task(Worker& worker, const std::string& name, std::uint64_t attempt, double grace);
+    void exit_task(Worker& worker, Task& task, const std::string& why, bool stored);
+    void save_progress(const Task& task, bool all);
+    double progress_of(const Task& task);
+    void check();
+    void check_start(const Worker& worker, const Job& job, std::uint32_t task);
+    void fault();
+    void user_tick(Job& job);
+    void poll(Job& job);
+    void fail(const std::string& rule, const std::string& what);
+    Job* job(const std::string& id);
+    std::uint64_t dice(std::uint64_t n) { return rng_() % n; }
+    bool chance(double p) { return static_cast<double>(rng_() % 1'000'000) < p * 1e6; }
+
+    Options options_;
+    std::mt19937_64 rng_;
+    Millis now_ = 0;
+    std::uint64_t event_number_ = 0;
+    struct Event {
+        Millis at;
+        std::uint64_t number;
+        std::function<void()> fn;
+        bool operator<(const Event& o) const {
+            return at != o.at ? at > o.at : number > o.number;
+        }
+    };
+    std::priority_queue<Event> events_;
+    std::string broken_;
+    std::vector<Node> nodes_;
+    std::vector<Cut> cuts_;
+    std::vector<Millis> refused_until_;
+    Millis outage_until_ = 0;
+    Millis cloud_outage_until_ = 0;
+    // State service.
+    std::uint64_t revision_ = 0;
+    std::map<std::string, std::pair<std::string, std::uint64_t>> store_;
+    std::map<std::string, std::uint64_t> key_grant_;
+    std::map<std::uint64_t, std::pair<Millis, Millis>> grants_;  // ttl, ends
+    std::uint64_t next_grant_ = 0;
+    std::vector<Change> changes_;
+    std::vector<Watch> watches_;
+    std::map<Millis, std::size_t> writes_in_second_;
+    std::size_t most_writes_ = 0;
+    // Cloud and workers.
+    std::map<std::string, std::vector<std::string>> rentals_;
+    std::map<std::string, Worker> workers_;
+    std::vector<std::pair<Millis, std::string>> listings_;
+    std::uint64_t next_worker_ = 0;
+    Millis boot_ms_ = 6000;
+    int capacity_ = 12;
+    std::vector<Job> jobs_;
+    std::map<std::string, std::size_t> job_index_;
+};
+
+// A job with its parts drawn at random.
+Job random_job(std::mt19937_64& rng, std::size_t number, Millis busy_ms);
+
+}  // namespace lichendrift::standin
