--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -28,6 +28,8 @@
     double save_s = 0;
     std::optional<double> deadline_s;
     std::int64_t submitted_ms = 0;
+    std::vector<double> start_within_s;   // its class's aims, soonest first
+    std::vector<double> finish_within_s;
 };
 
 struct PlannerTuning {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -107,6 +107,13 @@
     std::int64_t submitted_ms = 0;  // time of day
 };
 
+// What is expected of a class of jobs: tasks started, or jobs done, within a time.
+struct Aim {
+    enum class Kind : std::uint8_t { Start, Finish, Deadline, Guarantee } kind = Kind::Start;
+    std::string cls;  // empty: every class
+    double within_s = 0;
+};
+
 struct MachineType {
     std::string name;
     Room room;
