--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -35,6 +35,12 @@
     cs.cancel_ms = static_cast<Millis>(settings.cancel_s * 1000);
     cs.gang_peer_s = settings.gang_peer_s;
     cs.guards = settings.guards;
+    for (const auto& o : settings.objectives) {
+        using Kind = core::Aim::Kind;
+        if (o.kind == "wait") cs.aims.push_back({Kind::Start, o.cls, o.within_s});
+        if (o.kind == "finished") cs.aims.push_back({Kind::Finish, o.cls, o.within_s});
+        if (o.kind == "guarantee") cs.aims.push_back({Kind::Guarantee, "", o.within_s});
+    }
     // A placed task takes about 50 bytes of its record; the margin is for long machine names.
     cs.chunk_tasks = std::max(8U, static_cast<std::uint32_t>(settings.state_value_kb * 1024 / 80));
     for (const auto& zone : settings.zones) shared_->zones.intern(zone);
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -15,6 +15,25 @@
            (limit.gpus > 0 && used.gpus > limit.gpus) || (limit.mem > 0 && used.mem > limit.mem);
 }
 
+// Seconds left until the next aim that can still be met is lost. What has lost them all waits like
+// something with moderate time left: it neither goes before what can still be in time nor starves.
+double slack_of(const JobSpec& spec, double age_s, double guarantee_s) {
+    constexpr double kNoAim = 120;
+    constexpr double kAllLost = 30;
+    double slack = 1e9;
+    bool any = false;
+    const auto aim = [&](double left_s) {
+        any = true;
+        if (left_s > -1) slack = std::min(slack, left_s);
+    };
+    for (double s : spec.start_within_s) aim(s - age_s);
+    if (guarantee_s > 0) aim(guarantee_s - age_s);
+    for (double s : spec.finish_within_s) aim(s - age_s - spec.estimate_s);
+    if (spec.deadline_s) aim(*spec.deadline_s - age_s - spec.estimate_s);
+    if (slack < 1e9) return slack;
+    return any ? kAllLost : kNoAim - age_s;
+}
+
 }  // namespace
 
 Cluster::Cluster(ClusterSettings settings, Names& types, Names& zones)
@@ -24,6 +43,9 @@
         team_list_.push_back(team);
     }
     team_used_.resize(team_list_.size());
+    for (const auto& aim : settings_.aims) {
+        if (aim.kind == Aim::Kind::Guarantee) guarantee_s_ = aim.within_s;
+    }
 }
 
 void Cluster::set_types(const std::vector<MachineType>& types) {
@@ -73,6 +95,13 @@
     spec.save_s = text.save_s;
     spec.deadline_s = text.deadline_s;
     spec.submitted_ms = text.submitted_ms;
+    for (const auto& aim : settings_.aims) {
+        if (aim.cls != text.cls) continue;
+        if (aim.kind == Aim::Kind::Start) spec.start_within_s.push_back(aim.within_s);
+        if (aim.kind == Aim::Kind::Finish) spec.finish_within_s.push_back(aim.within_s);
+    }
+    std::sort(spec.start_within_s.begin(), spec.start_within_s.end());
+    std::sort(spec.finish_within_s.begin(), spec.finish_within_s.end());
 }
 
 void Cluster::load_record(const std::string& job_id, std::uint32_t chunk, const PlaceRecord& record,
@@ -1041,12 +1070,8 @@
         item.in_guarantee = job.in_guarantee;
         item.blocked = job.retry_at > now;
         item.waited_ms = now - job.waiting_since;
-        item.slack_s = 1e9;
-        if (job.spec.deadline_s) {
-            item.slack_s = *job.spec.deadline_s -
-                           static_cast<double>(wall_ms - job.spec.submitted_ms) / 1000.0 -
-                           job.spec.estimate_s;
-        }
+        const double age_s = static_cast<double>(wall_ms - job.spec.submitted_ms) / 1000.0;
+        item.slack_s = slack_of(job.spec, age_s, job.in_guarantee ? guarantee_s_ : 0);
         item.zone_counts.resize(zones_.size());
         for (const auto& [task, hix] : job.holds) {
             const auto zone = machines_[holds_[hix].machine].zone;
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -16,6 +16,7 @@
     Millis cancel_ms = 30000;
     double gang_peer_s = 4;
     std::uint32_t chunk_tasks = 100;  // tasks of an array in one place record
+    std::vector<Aim> aims;
     PlannerTuning tuning;
     Guards guards;
 };
@@ -236,6 +237,7 @@
     Names teams_;
     std::vector<Team> team_list_;
     std::vector<Room> team_used_;
+    double guarantee_s_ = 0;  // how soon work within a guarantee should start
     std::vector<MachineType> type_info_;
     std::map<JobIx, Job> jobs_;
     JobIx next_job_ = 0;
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -48,9 +48,7 @@
             const auto& x = spec(*a);
             const auto& y = spec(*b);
             if (x.priority != y.priority) return x.priority > y.priority;
-            if (x.deadline_s && y.deadline_s && a->slack_s != b->slack_s) {
-                return a->slack_s < b->slack_s;
-            }
+            if (a->slack_s != b->slack_s) return a->slack_s < b->slack_s;
             return x.submitted_ms < y.submitted_ms;
         });
         for (const auto* item : items) {
