--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -9,6 +9,8 @@
 
 constexpr Millis kTick = 250;
 constexpr Millis kPlanSpacing = 60;
+constexpr Millis kRentSpacing = 700;
+constexpr Millis kRentTrouble = 1500;
 constexpr Millis kDirectDeadline = 1500;
 constexpr Millis kDirectPause = 3000;
 constexpr std::size_t kMostDirect = 24;
@@ -514,7 +516,9 @@
     const auto now = port_.now();
     const auto applied = with([&](core::Cluster& c) { return c.apply(plan, now); });
     for (const auto& line : applied.lines) host_.log_info(line);
-    if (renting_ == 0) {
+    // Demand comes in bits; renting at every plan would use up the cloud's pace.
+    if (renting_ == 0 && now >= rent_pause_ && !applied.rents.empty()) {
+        rent_pause_ = now + kRentSpacing;
         for (const auto& r : applied.rents) rent(r);
     }
     if (applied.starts + applied.stops > 0) {
@@ -555,6 +559,7 @@
                         return;
                     }
                     --self->renting_;
+                    if (answer == cloud::Answer::Trouble) self->rent_pause_ = now + kRentTrouble;
                     self->with([&](core::Cluster& c) {
                         if (answer == cloud::Answer::Ok) {
                             c.on_rented(type, zone, rent.spot, names, now);
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -110,6 +110,7 @@
     bool asking_types_ = false;
     Millis counted_at_ = 0;
     int renting_ = 0;
+    Millis rent_pause_ = 0;
     std::uint64_t rentals_ = 0;
     std::set<std::string> direct_open_;
     std::unordered_map<std::string, Millis> direct_pause_;
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -448,7 +448,7 @@
         return false;
     }
 
-    bool add_virtual(const JobSpec& sp, ZoneIx only_zone) {
+    bool add_virtual(const JobSpec& sp, ZoneIx only_zone, bool spot) {
         if (virtual_.size() >= kMostRented) return false;
         double best = 1e300;
         Virtual pick{kNone, kNone, false, {}};
@@ -460,19 +460,17 @@
             for (auto zone : s_.type_zones[t]) {
                 if (sp.zone != kNone && zone != sp.zone) continue;
                 if (only_zone != kNone && zone != only_zone) continue;
-                for (bool spot : {true, false}) {
-                    if ((spot && !sp.spot) || refused(t, zone, spot)) continue;
-                    double cost =
-                        (spot ? type.spot_hourly : type.hourly) / static_cast<double>(fits);
-                    // Spread spot machines over the zones: one wave takes fewer.
-                    std::size_t there = 0;
-                    for (const auto& m : machines_) there += m.zone == zone;
-                    for (const auto& v : virtual_) there += v.zone == zone;
-                    cost *= 1.0 + 0.002 * static_cast<double>(there);
-                    if (cost < best) {
-                        best = cost;
-                        pick = {t, zone, spot, type.room};
-                    }
+                if ((spot && !sp.spot) || refused(t, zone, spot)) continue;
+                double cost =
+                    (spot ? type.spot_hourly : type.hourly) / static_cast<double>(fits);
+                // Spread machines over the zones: one wave, or one cut, takes fewer.
+                std::size_t there = 0;
+                for (const auto& m : machines_) there += m.zone == zone;
+                for (const auto& v : virtual_) there += v.zone == zone;
+                cost *= 1.0 + 0.002 * static_cast<double>(there);
+                if (cost < best) {
+                    best = cost;
+                    pick = {t, zone, spot, type.room};
                 }
             }
         }
@@ -489,7 +487,8 @@
                 // A gang needs its machines together; count what one candidate zone lacks.
                 ZoneIx zone = sp.zone;
                 if (sp.one_zone && zone == kNone && s_.zones > 0) zone = best_zone(sp);
-                rent_for(sp, zone, left);
+                left = rent_for(sp, zone, left, true);
+                rent_for(sp, zone, left, false);
                 continue;
             }
             if (!sp.gang) {
@@ -498,17 +497,14 @@
                     left -= static_cast<std::uint32_t>(choice.machines.size());
                 }
             }
-            // Places that are free again before a new machine would be up.
-            for (std::size_t h = 0; h < s_.holds.size() && left > 0; ++h) {
-                const auto& view = s_.holds[h];
-                if (soon_used_[h] || victim_[h] || view.left_s > s_.tuning.rent_patience_s)
-                    continue;
-                const auto& m = machines_[position_.at(view.machine)];
-                if (!m.usable || !allows(sp, m) || !need_of(view.job).holds(sp.need)) continue;
-                soon_used_[h] = true;
-                --left;
-            }
-            rent_for(sp, item->zone, left);
+            // Places that are free again in time need no new machine. Ordinary machines cost a
+            // multiple of spot ones, so work that has time waits longer before it gets one.
+            const double cheap = std::clamp(item->slack_s * 0.5, 3.0, s_.tuning.rent_patience_s);
+            const double dear = std::clamp(item->slack_s * 0.6, cheap, s_.tuning.dear_patience_s);
+            left = wait_for_places(sp, left, cheap);
+            left = rent_for(sp, item->zone, left, true);
+            left = wait_for_places(sp, left, dear);
+            rent_for(sp, item->zone, left, false);
         }
         std::map<std::tuple<TypeIx, ZoneIx, bool>, std::uint32_t> sum;
         for (const auto& v : virtual_) ++sum[{v.type, v.zone, v.spot}];
@@ -526,12 +522,27 @@
         return static_cast<ZoneIx>(std::max_element(fit.begin(), fit.end()) - fit.begin());
     }
 
-    void rent_for(const JobSpec& sp, ZoneIx zone, std::uint32_t count) {
+    // How many of `count` are left without a place that is free within `patience_s`.
+    std::uint32_t wait_for_places(const JobSpec& sp, std::uint32_t count, double patience_s) {
+        for (std::size_t h = 0; h < s_.holds.size() && count > 0; ++h) {
+            const auto& view = s_.holds[h];
+            if (soon_used_[h] || victim_[h] || view.left_s > patience_s) continue;
+            const auto& m = machines_[position_.at(view.machine)];
+            if (!m.usable || !allows(sp, m) || !need_of(view.job).holds(sp.need)) continue;
+            soon_used_[h] = true;
+            --count;
+        }
+        return count;
+    }
+
+    // How many of `count` no machine could be planned for.
+    std::uint32_t rent_for(const JobSpec& sp, ZoneIx zone, std::uint32_t count, bool spot) {
         for (; count > 0; --count) {
             if (take_virtual(sp, zone)) continue;
-            if (!add_virtual(sp, zone)) return;
+            if (!add_virtual(sp, zone, spot)) break;
             take_virtual(sp, zone);
         }
+        return count;
     }
 
     void return_idle() {
@@ -540,7 +551,8 @@
         for (std::size_t i = 0; i < machines_.size(); ++i) {
             const auto& m = machines_[i];
             if (!m.usable || reserved_[i] || claimed_[i] || !holds_of_[i].empty()) continue;
-            if (m.idle_ms < s_.tuning.idle_keep_ms || m.age_ms < 60000) continue;
+            const auto keep = m.spot ? s_.tuning.idle_keep_ms : s_.tuning.dear_idle_keep_ms;
+            if (m.idle_ms < keep || m.age_ms < 60000) continue;
             idle.push_back(i);
         }
         if (idle.size() <= s_.tuning.spare_machines) return;
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -40,7 +40,9 @@
     Millis starving_ms = 60000;    // a gang that waits longer gets a claim
     Millis idle_keep_ms = 75000;
     std::uint32_t spare_machines = 1;
-    double rent_patience_s = 20;
+    double rent_patience_s = 20;       // a place that is free that soon needs no new machine
+    double dear_patience_s = 60;       // the same before an ordinary machine is rented
+    Millis dear_idle_keep_ms = 20000;  // ordinary machines are kept idle for less long
 };
 
 struct MachineView {
