--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -1005,6 +1005,7 @@
     s.teams = team_list_;
     s.types = type_info_;
     s.zones = zones_.size();
+    s.guarantee_s = guarantee_s_;
     for (const auto& type : type_info_) {
         auto& zones = s.type_zones.emplace_back();
         for (const auto& zone : type.zones) zones.push_back(zones_.intern(zone));
@@ -1136,7 +1137,12 @@
             continue;
         }
         const auto attempt = settings_.token * 10'000'000 + ++attempts_;
-        std::string line = "place " + job.id + " attempt " + std::to_string(attempt) + " on";
+        const auto& images = machines_[on.front().second].images;
+        const bool there = std::find(images.begin(), images.end(), job.spec.image) != images.end();
+        std::string line = "place " + job.id + " (" + job.text.cls + ") attempt " +
+                           std::to_string(attempt) + " after " +
+                           std::to_string((now - job.waiting_since) / 1000) + " s, image " +
+                           (there ? "there" : "to fetch") + ", on";
         for (auto [task, mix] : on) {
             Hold h;
             h.job = start.job;
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -555,6 +555,21 @@
             if (m.idle_ms < keep || m.age_ms < 60000) continue;
             idle.push_back(i);
         }
+        // Where guaranteed work should start sooner than a machine boots, room for the guarantees
+        // has to be up already.
+        Room up;
+        for (const auto& m : machines_) up += m.room;
+        Room guaranteed;
+        for (const auto& team : s_.teams) guaranteed += team.guarantee;
+        const auto needed = [&](std::size_t i) {
+            const auto& m = machines_[i];
+            if (s_.guarantee_s <= 0 || s_.guarantee_s > s_.types[m.type].boot_s) return false;
+            Room rest = up;
+            rest -= m.room;
+            return (guaranteed.cpus > 0 && rest.cpus < guaranteed.cpus) ||
+                   (guaranteed.gpus > 0 && rest.gpus < guaranteed.gpus);
+        };
+        std::erase_if(idle, needed);
         if (idle.size() <= s_.tuning.spare_machines) return;
         auto hourly = [&](std::size_t i) {
             const auto& type = s_.types[machines_[i].type];
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -100,6 +100,7 @@
     std::vector<MachineType> types;
     std::vector<std::vector<ZoneIx>> type_zones;
     std::size_t zones = 0;
+    double guarantee_s = 0;  // how soon guaranteed work should start; 0: no such aim
     std::vector<std::tuple<TypeIx, ZoneIx, bool>> refused;
 };
 
