--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr std::size_t kMostWarm = 16;
+constexpr Millis kWarmFor = 600'000;
+
 std::int64_t need_thousandths(double amount) {
     return static_cast<std::int64_t>(std::ceil(amount * 1000.0 - 1e-6));
 }
@@ -101,6 +104,14 @@
         if (aim.kind == Aim::Kind::Finish) spec.finish_within_s.push_back(aim.within_s);
     }
     std::sort(spec.start_within_s.begin(), spec.start_within_s.end());
+    if (!spec.start_within_s.empty()) {
+        warm_[spec.image] = now;
+        if (warm_.size() > kMostWarm) {
+            warm_.erase(std::min_element(warm_.begin(), warm_.end(), [](auto& a, auto& b) {
+                return a.second < b.second;
+            }));
+        }
+    }
     std::sort(spec.finish_within_s.begin(), spec.finish_within_s.end());
 }
 
@@ -1006,6 +1017,9 @@
     s.types = type_info_;
     s.zones = zones_.size();
     s.guarantee_s = guarantee_s_;
+    for (const auto& [image, used] : warm_) {
+        if (now - used < kWarmFor) s.warm_images.push_back(image);
+    }
     for (const auto& type : type_info_) {
         auto& zones = s.type_zones.emplace_back();
         for (const auto& zone : type.zones) zones.push_back(zones_.intern(zone));
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -237,6 +237,7 @@
     Names teams_;
     std::vector<Team> team_list_;
     std::vector<Room> team_used_;
+    std::map<ImageIx, Millis> warm_;  // last use by a class whose tasks should start soon
     double guarantee_s_ = 0;  // how soon work within a guarantee should start
     std::vector<MachineType> type_info_;
     std::map<JobIx, Job> jobs_;
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -96,6 +96,14 @@
             score += s_.tuning.image_weight;
         } else if (has(m.fetching)) {
             score += s_.tuning.fetching_weight;
+        } else if (!spec.start_within_s.empty()) {
+            score -= s_.tuning.fetch_weight * fetch_s(spec, m);
+        }
+        if (spec.start_within_s.empty() &&
+            std::any_of(s_.warm_images.begin(), s_.warm_images.end(), [&](ImageIx image) {
+                return std::find(m.images.begin(), m.images.end(), image) != m.images.end();
+            })) {
+            score -= s_.tuning.warm_weight;
         }
         auto share = [](std::int64_t left, std::int64_t all) {
             return all > 0 ? static_cast<double>(left) / static_cast<double>(all) : 0.0;
@@ -108,6 +116,13 @@
         return score;
     }
 
+    // How long the image takes to get there; fetches under way share the rate.
+    double fetch_s(const JobSpec& spec, const MachineView& m) const {
+        if (std::find(m.images.begin(), m.images.end(), spec.image) != m.images.end()) return 0;
+        const auto rate = std::max(0.01, s_.types[m.type].fetch_gb_s);
+        return spec.image_gb * (1.0 + static_cast<double>(m.fetching.size())) / rate;
+    }
+
     Room room_in(std::size_t i, Pass pass) const {
         Room room = machines_[i].free;
         if (pass != Pass::Free) room += releasing_[i];
@@ -221,8 +236,16 @@
                s_.teams[mine.team].guarantee != Room{};
     }
 
+    bool too_late(const ItemView& item, const Choice& choice) const {
+        const JobSpec& sp = spec(item);
+        if (sp.start_within_s.empty()) return false;
+        double fetch = 0;
+        for (auto i : choice.machines) fetch = std::max(fetch, fetch_s(sp, machines_[i]));
+        return fetch > item.slack_s && item.slack_s > 1;
+    }
+
     // Victims whose removal makes room for the whole, fewest and cheapest first.
-    Choice preempt(const ItemView& item, std::uint32_t count) const {
+    Choice preempt(const ItemView& item, std::uint32_t count, bool image_there = false) const {
         const JobSpec& sp = spec(item);
         Choice best;
         double best_cost = 1e300;
@@ -244,6 +267,7 @@
                     if (sp.one_zone && item.zone != kNone && m.zone != item.zone) continue;
                     if (sp.apart && zones[m.zone] + 1 > (sp.count + 1) / 2) continue;
                     if (!m.room.holds(sp.need)) continue;
+                    if (image_there && fetch_s(sp, m) > 0) continue;
                     Room r = room.contains(i) ? room[i] : room_in(i, Pass::Releasing);
                     std::vector<std::size_t> order;
                     for (auto h : holds_of_[i]) {
@@ -351,6 +375,16 @@
             return;
         }
         if (auto choice = best_of(item, sp.count, Pass::Free, false); choice.found()) {
+            // Exception to the plain rule, see docs/design.md: with free room only where the
+            // image would come too late for the class's aim, lower priorities are displaced
+            // where it is there.
+            if (too_late(item, choice) && has_victims(item)) {
+                auto there = preempt(item, sp.count, true);
+                if (there.found() && !there.victims.empty()) {
+                    take_victims(item, there);
+                    return;
+                }
+            }
             start(item, choice);
             return;
         }
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -35,6 +35,8 @@
 struct PlannerTuning {
     double image_weight = 4.0;     // the image is there
     double fetching_weight = 2.0;  // the image is being fetched there
+    double fetch_weight = 0.15;    // a second of fetching, for a class that should start soon
+    double warm_weight = 1.5;      // room beside such a class's image is for that class
     double fit_weight = 3.0;       // tightest fit
     double price_weight = 1.0;     // dear machines are taken last
     Millis starving_ms = 60000;    // a gang that waits longer gets a claim
@@ -100,6 +102,7 @@
     std::vector<MachineType> types;
     std::vector<std::vector<ZoneIx>> type_zones;
     std::size_t zones = 0;
+    std::vector<ImageIx> warm_images;  // of classes whose tasks should start soon
     double guarantee_s = 0;  // how soon guaranteed work should start; 0: no such aim
     std::vector<std::tuple<TypeIx, ZoneIx, bool>> refused;
 };
