--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -1069,6 +1069,7 @@
             const double ran =
                 h.running_since > 0 ? static_cast<double>(now - h.running_since) / 1000.0 : 0;
             hv.left_s = spec.service ? 1e9 : std::max(spec.estimate_s - ran, spec.estimate_s * 0.1);
+            hv.ran_ms = h.phase == TaskPhase::Running ? now - h.running_since : 0;
             hv.lost_s = spec.checkpoint_s > 0 ? std::min(spec.checkpoint_s, ran) : ran;
             s.holds.push_back(hv);
         }
@@ -1192,6 +1193,21 @@
         machine.life = Machine::Life::Returning;
         applied.lines.push_back("idle machine " + machine.name + " is returned");
     }
+    for (auto mix : plan.drains) {
+        Machine& machine = machines_[mix];
+        if (machine.life != Machine::Life::Up || machine.drain) continue;
+        machine.drain = true;
+        applied.lines.push_back("machine " + machine.name + " is emptied to be returned");
+        const auto held = machine.holds;
+        for (auto hix : held) {
+            const Hold& h = holds_[hix];
+            if (h.job == kNone) continue;
+            const JobSpec& spec = jobs_[h.job].spec;
+            if (spec.checkpoint_s <= 0 || h.phase != TaskPhase::Running) continue;
+            if (spec.estimate_s * 1000 - static_cast<double>(now - h.running_since) < 60000) continue;
+            stop_with_gang(hix, spec.save_s, now);
+        }
+    }
     applied.rents = plan.rents;
     return applied;
 }
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -60,6 +60,7 @@
         }
         rent_all();
         return_idle();
+        drain_dear();
         return std::move(plan_);
     }
 
@@ -579,6 +580,73 @@
         return count;
     }
 
+    // Where guaranteed work should start sooner than a machine boots, room for the guarantees has to
+    // be up already.
+    bool kept_for_guarantees(std::size_t i) const {
+        const auto& m = machines_[i];
+        if (s_.guarantee_s <= 0 || s_.guarantee_s > s_.types[m.type].boot_s) return false;
+        Room rest;
+        for (const auto& other : machines_) rest += other.room;
+        rest -= m.room;
+        Room guaranteed;
+        for (const auto& team : s_.teams) guaranteed += team.guarantee;
+        return (guaranteed.cpus > 0 && rest.cpus < guaranteed.cpus) ||
+               (guaranteed.gpus > 0 && rest.gpus < guaranteed.gpus);
+    }
+
+    // Empties one ordinary machine whose work fits into free room on spot machines: what saves is
+    // moved, the rest is left to end. The protocol lets tasks be stopped to return a machine.
+    void drain_dear() {
+        if (!demands_.empty() || !plan_.stops.empty()) return;
+        std::vector<Room> room(machines_.size());
+        std::int64_t slots = 0;
+        for (std::size_t i = 0; i < machines_.size(); ++i) {
+            if (!machines_[i].usable || claimed_[i] || !machines_[i].spot) continue;
+            room[i] = machines_[i].free;
+        }
+        std::size_t best = machines_.size();
+        std::vector<std::pair<std::size_t, Room>> best_use;
+        for (std::size_t i = 0; i < machines_.size(); ++i) {
+            const auto& m = machines_[i];
+            if (!m.usable || m.spot || reserved_[i] || claimed_[i] || holds_of_[i].empty()) continue;
+            if (m.age_ms < 60000 || kept_for_guarantees(i)) continue;
+            if (best < machines_.size() && holds_of_[i].size() >= holds_of_[best].size()) continue;
+            std::vector<std::pair<std::size_t, Room>> use;
+            bool all = true;
+            for (auto h : holds_of_[i]) {
+                const auto& view = s_.holds[h];
+                const auto& sp = s_.jobs.at(view.job).spec;
+                const bool moves = sp.checkpoint_s > 0 && sp.count == 1 && sp.spot &&
+                                   sp.save_s < 10 && view.ran_ms > s_.tuning.drain_after_ms &&
+                                   view.left_s > 60;
+                const bool ends = view.left_s < 40;
+                bool fits = ends;
+                for (std::size_t o = 0; o < machines_.size() && moves && !fits; ++o) {
+                    const auto& other = machines_[o];
+                    Room r = room[o];
+                    for (auto& [at, need] : use) {
+                        if (at == o) r -= need;
+                    }
+                    if (r == Room{} || !allows(sp, other) || !r.holds(sp.need)) continue;
+                    if (fetch_s(sp, other) > 0) continue;
+                    use.emplace_back(o, sp.need);
+                    fits = true;
+                }
+                all &= fits;
+            }
+            if (!all) continue;
+            best = i;
+            best_use = use;
+        }
+        if (best >= machines_.size()) return;
+        // Some room has to stay free for what comes next.
+        const auto& first = s_.jobs.at(s_.holds[holds_of_[best].front()].job).spec;
+        for (auto& [at, need] : best_use) room[at] -= need;
+        for (std::size_t i = 0; i < machines_.size(); ++i) slots += room[i].fits(first.need);
+        if (slots < static_cast<std::int64_t>(s_.tuning.spare_machines) * 2) return;
+        plan_.drains.push_back(machines_[best].ix);
+    }
+
     void return_idle() {
         // Room kept warm: the cheapest idle machines stay, the dear ones go first.
         std::vector<std::size_t> idle;
@@ -589,21 +657,7 @@
             if (m.idle_ms < keep || m.age_ms < 60000) continue;
             idle.push_back(i);
         }
-        // Where guaranteed work should start sooner than a machine boots, room for the guarantees
-        // has to be up already.
-        Room up;
-        for (const auto& m : machines_) up += m.room;
-        Room guaranteed;
-        for (const auto& team : s_.teams) guaranteed += team.guarantee;
-        const auto needed = [&](std::size_t i) {
-            const auto& m = machines_[i];
-            if (s_.guarantee_s <= 0 || s_.guarantee_s > s_.types[m.type].boot_s) return false;
-            Room rest = up;
-            rest -= m.room;
-            return (guaranteed.cpus > 0 && rest.cpus < guaranteed.cpus) ||
-                   (guaranteed.gpus > 0 && rest.gpus < guaranteed.gpus);
-        };
-        std::erase_if(idle, needed);
+        std::erase_if(idle, [&](std::size_t i) { return kept_for_guarantees(i); });
         if (idle.size() <= s_.tuning.spare_machines) return;
         auto hourly = [&](std::size_t i) {
             const auto& type = s_.types[machines_[i].type];
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -38,12 +38,13 @@
     double fetch_weight = 0.15;    // a second of fetching, for a class that should start soon
     double warm_weight = 1.5;      // room beside such a class's image is for that class
     double fit_weight = 3.0;       // tightest fit
-    double price_weight = 1.0;     // dear machines are taken last
+    double price_weight = 1.5;     // dear machines are taken last
     Millis starving_ms = 60000;    // a gang that waits longer gets a claim
     Millis idle_keep_ms = 75000;
     std::uint32_t spare_machines = 1;
     double rent_patience_s = 20;       // a place that is free that soon needs no new machine
     double dear_patience_s = 60;       // the same before an ordinary machine is rented
+    Millis drain_after_ms = 30000;     // work that ran less is not moved to empty a machine
     Millis dear_idle_keep_ms = 20000;  // ordinary machines are kept idle for less long
 };
 
@@ -69,6 +70,7 @@
     MachineIx machine = kNone;
     JobIx job = kNone;
     bool stopping = false;
+    Millis ran_ms = 0;
     double left_s = 0;  // estimated rest
     double lost_s = 0;  // work lost if stopped now
 };
@@ -124,6 +126,7 @@
     std::vector<std::pair<HoldIx, std::uint64_t>> stops;  // with the attempt meant
     std::vector<Rent> rents;
     std::vector<MachineIx> returns;
+    std::vector<MachineIx> drains;  // emptied, then returned
 };
 
 // The placement rule of the design: each gang whole per candidate zone, tightest fit, victims of
