--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t kMostWarm = 16;
+constexpr double kRateFor = 120'000;
 constexpr Millis kWarmFor = 600'000;
 
 std::int64_t need_thousandths(double amount) {
@@ -106,6 +107,11 @@
     std::sort(spec.start_within_s.begin(), spec.start_within_s.end());
     if (!spec.start_within_s.empty()) {
         warm_[spec.image] = now;
+        Arrivals& arrivals = arrivals_[spec.cls];
+        const double passed = static_cast<double>(now - arrivals.at) / kRateFor;
+        arrivals.rate = arrivals.rate * std::exp(-passed) + spec.count * 1000.0 / kRateFor;
+        arrivals.at = now;
+        arrivals.spec = spec;
         if (warm_.size() > kMostWarm) {
             warm_.erase(std::min_element(warm_.begin(), warm_.end(), [](auto& a, auto& b) {
                 return a.second < b.second;
@@ -1017,6 +1023,14 @@
     s.types = type_info_;
     s.zones = zones_.size();
     s.guarantee_s = guarantee_s_;
+    for (const auto& [cls, arrivals] : arrivals_) {
+        const double rate =
+            arrivals.rate * std::exp(-static_cast<double>(now - arrivals.at) / kRateFor);
+        // A class that has not been seen for minutes needs nothing kept.
+        if (rate * settings_.tuning.warm_s < 0.15) continue;
+        const auto places = static_cast<std::uint32_t>(std::ceil(rate * settings_.tuning.warm_s));
+        s.warm_classes.push_back({arrivals.spec, std::min(places, 8U)});
+    }
     for (const auto& [image, used] : warm_) {
         if (now - used < kWarmFor) s.warm_images.push_back(image);
     }
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -238,6 +238,12 @@
     std::vector<Team> team_list_;
     std::vector<Room> team_used_;
     std::map<ImageIx, Millis> warm_;  // last use by a class whose tasks should start soon
+    struct Arrivals {  // of a class whose tasks should start soon
+        JobSpec spec;
+        double rate = 0;  // tasks a second, decaying
+        Millis at = 0;
+    };
+    std::map<ClassIx, Arrivals> arrivals_;
     double guarantee_s_ = 0;  // how soon work within a guarantee should start
     std::vector<MachineType> type_info_;
     std::map<JobIx, Job> jobs_;
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -52,12 +52,18 @@
             return x.submitted_ms < y.submitted_ms;
         });
         for (const auto* item : items) {
+            if (!warm_reserved_ && spec(*item).start_within_s.empty() && item->slack_s > 15) {
+                keep_warm(*item);
+            }
             if (spec(*item).gang) {
                 gang(*item);
             } else {
                 array(*item);
             }
         }
+        if (!warm_reserved_) {
+            for (const auto& warm : s_.warm_classes) reserve_places(warm);
+        }
         rent_all();
         return_idle();
         drain_dear();
@@ -228,6 +234,39 @@
         consume(spec(item), choice, false);
     }
 
+    // Places kept free for classes whose tasks should start sooner than room comes free. What such
+    // a class could displace needs no keeping.
+    void keep_warm(const ItemView& item) {
+        warm_reserved_ = true;
+        for (const auto& warm : s_.warm_classes) {
+            if (warm.spec.priority > spec(item).priority) continue;
+            reserve_places(warm);
+        }
+    }
+
+    void reserve_places(const WarmClass& warm) {
+        auto left = warm.places;
+        for (const bool booting : {false, true}) {
+            for (; left > 0; --left) {
+                double best = -1e300;
+                std::size_t at = machines_.size();
+                for (std::size_t i = 0; i < machines_.size(); ++i) {
+                    const auto& m = machines_[i];
+                    if (!(booting ? m.booting : m.usable) || claimed_[i] || !allows(warm.spec, m) ||
+                        !m.free.holds(warm.spec.need)) {
+                        continue;
+                    }
+                    const double value = node_score(warm.spec, m, m.free);
+                    if (value > best) best = value, at = i;
+                }
+                if (at == machines_.size()) break;
+                machines_[at].free -= warm.spec.need;
+                reserved_[at] = true;
+            }
+        }
+        if (left > 0) warm_demands_.emplace_back(&warm.spec, left);
+    }
+
     bool may_stop(const ItemView& item, const HoldView& victim) const {
         const auto& v = s_.jobs.at(victim.job);
         const auto& mine = spec(item);
@@ -541,6 +580,8 @@
             left = wait_for_places(sp, left, dear);
             rent_for(sp, item->zone, left, false);
         }
+        // Room to keep warm is rented only where it is cheap.
+        for (auto [sp, count] : warm_demands_) rent_for(*sp, kNone, count, true);
         std::map<std::tuple<TypeIx, ZoneIx, bool>, std::uint32_t> sum;
         for (const auto& v : virtual_) ++sum[{v.type, v.zone, v.spot}];
         for (const auto& [kind, number] : sum) {
@@ -683,6 +724,8 @@
     std::set<FitKey> full_;
     std::vector<std::pair<const ItemView*, std::uint32_t>> demands_;
     std::vector<Virtual> virtual_;
+    std::vector<std::pair<const JobSpec*, std::uint32_t>> warm_demands_;
+    bool warm_reserved_ = false;
     double most_hourly_ = 1;
     Plan plan_;
 };
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -37,6 +37,7 @@
     double fetching_weight = 2.0;  // the image is being fetched there
     double fetch_weight = 0.15;    // a second of fetching, for a class that should start soon
     double warm_weight = 1.5;      // room beside such a class's image is for that class
+    double warm_s = 20;            // arrivals of so long find a free place
     double fit_weight = 3.0;       // tightest fit
     double price_weight = 1.5;     // dear machines are taken last
     Millis starving_ms = 60000;    // a gang that waits longer gets a claim
@@ -92,6 +93,12 @@
     bool in_guarantee = false;
 };
 
+// A class whose tasks should start soon, and how many places to keep free for it.
+struct WarmClass {
+    JobSpec spec;
+    std::uint32_t places = 0;
+};
+
 struct Snapshot {
     Millis now = 0;
     PlannerTuning tuning;
@@ -104,6 +111,7 @@
     std::vector<MachineType> types;
     std::vector<std::vector<ZoneIx>> type_zones;
     std::size_t zones = 0;
+    std::vector<WarmClass> warm_classes;
     std::vector<ImageIx> warm_images;  // of classes whose tasks should start soon
     double guarantee_s = 0;  // how soon guaranteed work should start; 0: no such aim
     std::vector<std::tuple<TypeIx, ZoneIx, bool>> refused;
