Pack work onto fewer machines, probe silent ones, ask refused kinds again sooner

A machine that has gone silent is now asked directly before it is given up, and patience with it follows from the worker's own time-outs instead of its lease.

--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -237,7 +237,7 @@
     // earlier leaders, late copies included, end there.
     const auto now = port_.now();
     for (const auto& [name, endpoint] :
-         with([](core::Cluster& c) { return c.unsynced_machines(); })) {
+         with([now](core::Cluster& c) { return c.machines_to_ask(now); })) {
         if (direct_open_.size() >= kMostDirect) break;
         if (direct_open_.contains(name) || direct_pause_[name] > now) continue;
         direct(name);
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -683,12 +683,14 @@
     }
 }
 
-std::vector<std::pair<std::string, std::string>> Cluster::unsynced_machines() const {
+std::vector<std::pair<std::string, std::string>> Cluster::machines_to_ask(Millis now) const {
     std::vector<std::pair<std::string, std::string>> out;
     for (const auto& machine : machines_) {
-        if (machine.life == Machine::Life::Gone || machine.synced || machine.endpoint.empty()) {
-            continue;
-        }
+        if (machine.life == Machine::Life::Gone || machine.endpoint.empty()) continue;
+        // One that has gone silent is asked directly as well: its way here may be what is broken.
+        const bool silent = machine.life == Machine::Life::Up &&
+                            now - machine.heard_at > settings_.report_ms * 3 / 2 + 500;
+        if (machine.synced && !silent) continue;
         out.emplace_back(machine.name, machine.endpoint);
     }
     return out;
@@ -887,7 +889,7 @@
 
 void Cluster::on_refused(TypeIx type, ZoneIx zone, bool spot, Millis now) {
     auto& [until, step] = refused_[{type, zone, spot}];
-    step = std::min<Millis>(step == 0 ? 8000 : step * 2, 30000);
+    step = std::min<Millis>(step == 0 ? 5000 : step * 2, 12000);
     until = now + step;
 }
 
@@ -924,7 +926,8 @@
         ++up;
         if (now - machine.heard_at < settings_.report_ms * 2 + 1000) ++heard;
     }
-    const auto patience = std::min(settings_.lease_ms, settings_.report_ms * 4) + 2000;
+    // A report goes missing, the worker waits 4 s for its answer and a second for the next node.
+    const auto patience = settings_.report_ms * 5 / 4 + 5000 + 1500;
     for (auto& machine : machines_) {
         if (machine.life == Machine::Life::Gone || machine.life == Machine::Life::Returning) {
             continue;
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -162,7 +162,7 @@
     Direct direct_orders(const std::string& machine, bool may_start, Millis now);
     enum class DirectResult : std::uint8_t { Executed, NotExecuted, NoAnswer };
     void direct_result(const Direct& direct, DirectResult result);
-    std::vector<std::pair<std::string, std::string>> unsynced_machines() const;  // name, endpoint
+    std::vector<std::pair<std::string, std::string>> machines_to_ask(Millis now) const;  // name, endpoint
 
     // Records to write, and what came of it.
     std::vector<ChunkWrite> next_chunk_writes(std::size_t most, std::size_t most_bytes, Millis now);
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -66,7 +66,7 @@
         }
         rent_all();
         return_idle();
-        drain_dear();
+        drain_one();
         return std::move(plan_);
     }
 
@@ -635,23 +635,26 @@
                (guaranteed.gpus > 0 && rest.gpus < guaranteed.gpus);
     }
 
-    // Empties one ordinary machine whose work fits into free room on spot machines: what saves is
-    // moved, the rest is left to end. The protocol lets tasks be stopped to return a machine.
-    void drain_dear() {
+    double hourly(std::size_t i) const {
+        const auto& type = s_.types[machines_[i].type];
+        return machines_[i].spot ? type.spot_hourly : type.hourly;
+    }
+
+    // Empties one machine whose work fits into free room on machines that are cheaper, or as cheap
+    // and in use: what saves is moved, the rest is left to end. The dearest goes first. The protocol
+    // lets tasks be stopped to return a machine.
+    void drain_one() {
         if (!demands_.empty() || !plan_.stops.empty()) return;
-        std::vector<Room> room(machines_.size());
-        std::int64_t slots = 0;
-        for (std::size_t i = 0; i < machines_.size(); ++i) {
-            if (!machines_[i].usable || claimed_[i] || !machines_[i].spot) continue;
-            room[i] = machines_[i].free;
-        }
         std::size_t best = machines_.size();
-        std::vector<std::pair<std::size_t, Room>> best_use;
         for (std::size_t i = 0; i < machines_.size(); ++i) {
             const auto& m = machines_[i];
-            if (!m.usable || m.spot || reserved_[i] || claimed_[i] || holds_of_[i].empty()) continue;
+            if (!m.usable || reserved_[i] || claimed_[i] || holds_of_[i].empty()) continue;
             if (m.age_ms < 60000 || kept_for_guarantees(i)) continue;
-            if (best < machines_.size() && holds_of_[i].size() >= holds_of_[best].size()) continue;
+            if (best < machines_.size() &&
+                std::pair(-hourly(i), holds_of_[i].size()) >=
+                    std::pair(-hourly(best), holds_of_[best].size())) {
+                continue;
+            }
             std::vector<std::pair<std::size_t, Room>> use;
             bool all = true;
             for (auto h : holds_of_[i]) {
@@ -664,12 +667,14 @@
                 bool fits = ends;
                 for (std::size_t o = 0; o < machines_.size() && moves && !fits; ++o) {
                     const auto& other = machines_[o];
-                    Room r = room[o];
+                    if (o == i || !other.usable || claimed_[o] || !allows(sp, other)) continue;
+                    const bool in_use = !holds_of_[o].empty() || reserved_[o];
+                    if (hourly(o) > hourly(i) || (hourly(o) == hourly(i) && !in_use)) continue;
+                    Room r = other.free;
                     for (auto& [at, need] : use) {
                         if (at == o) r -= need;
                     }
-                    if (r == Room{} || !allows(sp, other) || !r.holds(sp.need)) continue;
-                    if (fetch_s(sp, other) > 0) continue;
+                    if (!r.holds(sp.need) || fetch_s(sp, other) > 0) continue;
                     use.emplace_back(o, sp.need);
                     fits = true;
                 }
@@ -677,14 +682,8 @@
             }
             if (!all) continue;
             best = i;
-            best_use = use;
         }
         if (best >= machines_.size()) return;
-        // Some room has to stay free for what comes next.
-        const auto& first = s_.jobs.at(s_.holds[holds_of_[best].front()].job).spec;
-        for (auto& [at, need] : best_use) room[at] -= need;
-        for (std::size_t i = 0; i < machines_.size(); ++i) slots += room[i].fits(first.need);
-        if (slots < static_cast<std::int64_t>(s_.tuning.spare_machines) * 2) return;
         plan_.drains.push_back(machines_[best].ix);
     }
 
@@ -700,10 +699,6 @@
         }
         std::erase_if(idle, [&](std::size_t i) { return kept_for_guarantees(i); });
         if (idle.size() <= s_.tuning.spare_machines) return;
-        auto hourly = [&](std::size_t i) {
-            const auto& type = s_.types[machines_[i].type];
-            return machines_[i].spot ? type.spot_hourly : type.hourly;
-        };
         std::sort(idle.begin(), idle.end(), [&](auto a, auto b) { return hourly(a) > hourly(b); });
         idle.resize(idle.size() - s_.tuning.spare_machines);
         for (auto i : idle) plan_.returns.push_back(machines_[i].ix);
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -41,12 +41,12 @@
     double fit_weight = 3.0;       // tightest fit
     double price_weight = 1.5;     // dear machines are taken last
     Millis starving_ms = 60000;    // a gang that waits longer gets a claim
-    Millis idle_keep_ms = 75000;
+    Millis idle_keep_ms = 45000;
     std::uint32_t spare_machines = 1;
     double rent_patience_s = 20;       // a place that is free that soon needs no new machine
     double dear_patience_s = 60;       // the same before an ordinary machine is rented
     Millis drain_after_ms = 30000;     // work that ran less is not moved to empty a machine
-    Millis dear_idle_keep_ms = 20000;  // ordinary machines are kept idle for less long
+    Millis dear_idle_keep_ms = 10000;  // ordinary machines are kept idle for less long
 };
 
 struct MachineView {
