A new leader gives up no machine that has been up for long

Such a machine now gets the leader's patience from when it was first known. Ruled out: the cut between zones, which the logs show returned none. The test returned machines before the fix.

--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -113,9 +113,8 @@
         arrivals.at = now;
         arrivals.spec = spec;
         if (warm_.size() > kMostWarm) {
-            warm_.erase(std::min_element(warm_.begin(), warm_.end(), [](auto& a, auto& b) {
-                return a.second < b.second;
-            }));
+            warm_.erase(std::min_element(warm_.begin(), warm_.end(),
+                                         [](auto& a, auto& b) { return a.second < b.second; }));
         }
     }
     std::sort(spec.finish_within_s.begin(), spec.finish_within_s.end());
@@ -861,6 +860,7 @@
                 std::min(machine.rented_at, now - static_cast<Millis>(listed.age_s * 1000));
         }
         if (machine.endpoint.empty()) machine.endpoint = listed.endpoint;
+        if (listed.state == ListedMachine::State::Running) machine.running = true;
         if (listed.state == ListedMachine::State::Failed && !machine.failed &&
             machine.life != Machine::Life::Gone) {
             machine.failed = true;
@@ -964,9 +964,14 @@
                                       : 60;
             const auto limit = std::max<Millis>(static_cast<Millis>(boot_s * 3000), 60000);
             // A record can name a machine that no list shows: it is gone, the return proves it.
+            // A new leader finds machines in the list that have been up for long and has not heard
+            // them yet: they get its full patience, whatever their age.
+            const auto known = now - machine.first_seen;
+            const auto least = machine.running ? 2 * patience : std::min(limit, 2 * patience);
+            const auto age = machine.running ? known : now - machine.rented_at;
             const bool ghost = !machine.listed && !machine.holds.empty() &&
                                now - machine.first_seen > patience + 6000;
-            if (ghost || now - machine.rented_at > limit) {
+            if (ghost || (known > least && age > (machine.running ? least : limit))) {
                 machine.life = Machine::Life::Returning;
                 lines.push_back("machine " + machine.name + " never came up, returned");
             }
@@ -1221,7 +1226,8 @@
             if (h.job == kNone) continue;
             const JobSpec& spec = jobs_[h.job].spec;
             if (spec.checkpoint_s <= 0 || h.phase != TaskPhase::Running) continue;
-            if (spec.estimate_s * 1000 - static_cast<double>(now - h.running_since) < 60000) continue;
+            if (spec.estimate_s * 1000 - static_cast<double>(now - h.running_since) < 60000)
+                continue;
             stop_with_gang(hix, spec.save_s, now);
         }
     }
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -62,6 +62,7 @@
     bool condemned = false;  // drained because it is faulty
     bool listed = false;
     bool failed = false;
+    bool running = false;  // by the list
     std::uint64_t session = 0;
     std::uint64_t seq = 0;
     std::optional<Millis> taken_at;  // spot notice: when the cloud takes it
@@ -162,7 +163,8 @@
     Direct direct_orders(const std::string& machine, bool may_start, Millis now);
     enum class DirectResult : std::uint8_t { Executed, NotExecuted, NoAnswer };
     void direct_result(const Direct& direct, DirectResult result);
-    std::vector<std::pair<std::string, std::string>> machines_to_ask(Millis now) const;  // name, endpoint
+    std::vector<std::pair<std::string, std::string>> machines_to_ask(
+        Millis now) const;  // name, endpoint
 
     // Records to write, and what came of it.
     std::vector<ChunkWrite> next_chunk_writes(std::size_t most, std::size_t most_bytes, Millis now);
@@ -238,7 +240,7 @@
     std::vector<Team> team_list_;
     std::vector<Room> team_used_;
     std::map<ImageIx, Millis> warm_;  // last use by a class whose tasks should start soon
-    struct Arrivals {  // of a class whose tasks should start soon
+    struct Arrivals {                 // of a class whose tasks should start soon
         JobSpec spec;
         double rate = 0;  // tasks a second, decaying
         Millis at = 0;
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -535,8 +535,7 @@
                 if (sp.zone != kNone && zone != sp.zone) continue;
                 if (only_zone != kNone && zone != only_zone) continue;
                 if ((spot && !sp.spot) || refused(t, zone, spot)) continue;
-                double cost =
-                    (spot ? type.spot_hourly : type.hourly) / static_cast<double>(fits);
+                double cost = (spot ? type.spot_hourly : type.hourly) / static_cast<double>(fits);
                 // Spread machines over the zones: one wave, or one cut, takes fewer.
                 std::size_t there = 0;
                 for (const auto& m : machines_) there += m.zone == zone;
@@ -621,8 +620,8 @@
         return count;
     }
 
-    // Where guaranteed work should start sooner than a machine boots, room for the guarantees has to
-    // be up already.
+    // Where guaranteed work should start sooner than a machine boots, room for the guarantees has
+    // to be up already.
     bool kept_for_guarantees(std::size_t i) const {
         const auto& m = machines_[i];
         if (s_.guarantee_s <= 0 || s_.guarantee_s > s_.types[m.type].boot_s) return false;
@@ -641,8 +640,8 @@
     }
 
     // Empties one machine whose work fits into free room on machines that are cheaper, or as cheap
-    // and in use: what saves is moved, the rest is left to end. The dearest goes first. The protocol
-    // lets tasks be stopped to return a machine.
+    // and in use: what saves is moved, the rest is left to end. The dearest goes first. The
+    // protocol lets tasks be stopped to return a machine.
     void drain_one() {
         if (!demands_.empty() || !plan_.stops.empty()) return;
         std::size_t best = machines_.size();
@@ -650,9 +649,8 @@
             const auto& m = machines_[i];
             if (!m.usable || reserved_[i] || claimed_[i] || holds_of_[i].empty()) continue;
             if (m.age_ms < 60000 || kept_for_guarantees(i)) continue;
-            if (best < machines_.size() &&
-                std::pair(-hourly(i), holds_of_[i].size()) >=
-                    std::pair(-hourly(best), holds_of_[best].size())) {
+            if (best < machines_.size() && std::pair(-hourly(i), holds_of_[i].size()) >=
+                                               std::pair(-hourly(best), holds_of_[best].size())) {
                 continue;
             }
             std::vector<std::pair<std::size_t, Room>> use;
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -28,7 +28,7 @@
     double save_s = 0;
     std::optional<double> deadline_s;
     std::int64_t submitted_ms = 0;
-    std::vector<double> start_within_s;   // its class's aims, soonest first
+    std::vector<double> start_within_s;  // its class's aims, soonest first
     std::vector<double> finish_within_s;
 };
 
@@ -113,7 +113,7 @@
     std::size_t zones = 0;
     std::vector<WarmClass> warm_classes;
     std::vector<ImageIx> warm_images;  // of classes whose tasks should start soon
-    double guarantee_s = 0;  // how soon guaranteed work should start; 0: no such aim
+    double guarantee_s = 0;            // how soon guaranteed work should start; 0: no such aim
     std::vector<std::tuple<TypeIx, ZoneIx, bool>> refused;
 };
 
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -45,6 +45,22 @@
     EXPECT_EQ(world.broken(), "");
 }
 
+TEST(Safety, NewLeaderGivesUpNoMachineThatHasBeenUpForLong) {
+    // Its list shows machines far older than a boot takes, none of which it has heard yet.
+    World world(calm(14));
+    auto j = plain("job-000001", 3, 200);
+    j.cpus = 8;  // a machine each, so that none is idle
+    world.jobs().push_back(j);
+    world.advance(90'000);
+    const auto first = world.leader();
+    ASSERT_TRUE(first);
+    world.crash(*first, 3000);
+    world.advance(110'000);
+    for (const auto& [name, w] : world.workers()) EXPECT_FALSE(w.gone) << name;
+    EXPECT_EQ(world.total_starts(), 3U);
+    EXPECT_EQ(world.broken(), "");
+}
+
 TEST(Safety, ControllersDyingDuringTheElection) {
     World world(calm(3));
     world.jobs().push_back(plain("job-000001", 3, 15));
