Make the test of a take-over fail without its fix; ask the rest of the machines at once

They hang now for the first seconds of the take-over, and the test fails with the old condition. The cause seen in the logs was the bound of 24 direct calls: the machines beyond it were judged before they were asked; they are asked as calls come back.

--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -478,6 +478,8 @@
                                                                : report                   ? 400
                                                                         : kDirectPause);
                    if (outcome.changed) self->changed();
+                   // The next ones that were kept waiting by the bound on calls under way.
+                   if (self->direct_open_.size() + 1 == kMostDirect) self->sync_machines();
                });
 }
 
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -60,6 +60,7 @@
     const auto first = world.leader();
     ASSERT_TRUE(first);
     world.crash(*first, 3000);
+    for (auto& [name, w] : world.workers()) w.hung_until = world.now() + 6000;
     world.advance(110'000);
     for (const auto& [name, w] : world.workers()) {
         EXPECT_EQ(w.gone, before.contains(name)) << name;
