Pass users' requests on where the state service refuses one node alone

Until now such a node answered 503 for as long as it lasted. It asks the leader, which says about once a second whether the state service answers it, and reports itself unhealthy after 2.5 s so that new connections go elsewhere.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -12,6 +12,10 @@
 constexpr Millis kGrantMargin = 150;
 constexpr Millis kForwardDeadline = 2500;
 constexpr int kMostForwards = 300;
+constexpr int kMostPassed = 100;
+constexpr Millis kPassDeadline = 1800;
+constexpr Millis kAloneFor = 2500;
+constexpr Millis kLeaderFresh = 2500;
 constexpr double kLeaderShare = 0.5;
 constexpr double kOtherShare = 0.2;
 
@@ -231,8 +235,10 @@
         std::string_view(request.target).substr(0, request.target.find('?'));
     if (target == "/healthz") {
         if (request.method != "GET") return respond({405, wire::error_body("use GET")});
-        if (!feed_.loaded() && users_.refused() == 0 && !store_.responsive()) {
-            return respond({503, wire::error_body("not ready")});
+        if (!feed_.ever_loaded()) return respond({503, wire::error_body("not ready")});
+        // Refused by the state service alone: users are better served elsewhere.
+        if (store_.failing_for() > kAloneFor && leader_is_good()) {
+            return respond({503, wire::error_body("the state service refuses this node")});
         }
         return respond({200, "{}"});
     }
@@ -240,9 +246,35 @@
         if (request.method != "POST") return respond({405, wire::error_body("use POST")});
         return beat(request.body, std::move(respond));
     }
+    if (!store_.responsive() && leader_is_good()) return pass_on(request, std::move(respond));
     users_.handle(request, std::move(respond));
 }
 
+bool Controller::leader_is_good() const {
+    return !leader_ && known_.store_good && port_.now() - known_.heard_at < kLeaderFresh;
+}
+
+void Controller::pass_on(const net::HttpRequest& request, net::Respond respond) {
+    const auto* leader = sibling(known_.member);
+    if (leader == nullptr || passing_ >= kMostPassed) {
+        return respond({503, wire::error_body("the state service does not answer"), 1});
+    }
+    ++passing_;
+    port_.call(
+        leader->address,
+        {"POST", "/peer/user",
+         wire::encode_passed_request({request.method, request.target, request.body})},
+        kPassDeadline, [this, respond = std::move(respond)](const net::HttpReply& reply) {
+            --passing_;
+            auto answer =
+                reply.status == 200 ? wire::decode_passed_answer(reply.body) : std::nullopt;
+            if (!answer) {
+                return respond({503, wire::error_body("the state service does not answer"), 1});
+            }
+            respond({answer->status, answer->body, answer->retry_after_s});
+        });
+}
+
 void Controller::beat(const std::string& body, net::Respond respond) {
     auto report = wire::parse_report(body);
     if (!report) {
@@ -296,6 +328,21 @@
         if (!answer) return respond({503, "", 0, false, true});
         return respond({200, wire::encode_beat_answer(*answer), 0, false, true});
     }
+    if (request.target == "/peer/user") {
+        auto passed = wire::decode_passed_request(request.body);
+        if (!passed) {
+            ++bad_messages_;
+            return respond({400, "", 0, false, true});
+        }
+        // Handled here and never passed on again, so that it can't go round.
+        return users_.handle({passed->method, passed->target, passed->body},
+                             [respond = std::move(respond)](const net::HttpResponse& answer) {
+                                 respond({200,
+                                          wire::encode_passed_answer(
+                                              {answer.status, answer.retry_after_s, answer.body}),
+                                          0, false, true});
+                             });
+    }
     if (request.target == "/peer/leader") {
         auto word = wire::decode_announcement(request.body);
         if (!word) {
@@ -307,6 +354,8 @@
         if (!leader_ && word->token >= known_.token) {
             known_.member = word->member;
             known_.token = word->token;
+            known_.store_good = word->store_good;
+            known_.heard_at = port_.now();
             users_.set_counts(word->counts);
         }
         return respond({200, "", 0, false, true});
@@ -317,7 +366,8 @@
 void Controller::announce(const std::vector<wire::JobCounts>& counts) {
     if (!leader_) return;
     announced_at_ = port_.now();
-    const auto body = wire::encode_announcement({settings_.member, leader_->token(), counts});
+    const auto body = wire::encode_announcement(
+        {settings_.member, leader_->token(), store_.responsive() && may_start(), counts});
     for (const auto& s : settings_.siblings) {
         port_.call(s.address, {"POST", "/peer/leader", body}, 1500, [](const net::HttpReply&) {});
     }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -28,6 +28,8 @@
         std::string member;
         std::uint64_t token = 0;
         std::uint64_t rev = 0;
+        bool store_good = false;  // by its own word
+        Millis heard_at = 0;
     };
 
     // Election.
@@ -51,6 +53,8 @@
     void counts_found(std::vector<wire::JobCounts> counts) override;
 
     void beat(const std::string& body, net::Respond respond);
+    [[nodiscard]] bool leader_is_good() const;
+    void pass_on(const net::HttpRequest& request, net::Respond respond);
     void forward(const core::Report& report, net::Respond respond);
     void fetch_types();
     void announce(const std::vector<wire::JobCounts>& counts);
@@ -73,6 +77,7 @@
     std::uint64_t highest_token_ = 0;
     Millis announced_at_ = 0;
     int forwarding_ = 0;
+    int passing_ = 0;
     std::uint64_t bad_messages_ = 0;
     bool asking_types_ = false;
 };
--- a/src/control/feed.cpp
+++ b/src/control/feed.cpp
@@ -63,6 +63,7 @@
     open_ = std::move(jobs);
     revision_ = revision;
     loaded_ = true;
+    ever_loaded_ = true;
     loading_ = false;
     if (listener_) {
         for (const auto& [id, job] : open_) listener_->on_open(job.text, job.rev);
--- a/src/control/feed.h
+++ b/src/control/feed.h
@@ -34,6 +34,7 @@
     // call is known here, with false if that can't be had soon.
     void barrier(std::function<void(bool)> done);
     [[nodiscard]] bool loaded() const { return loaded_; }
+    [[nodiscard]] bool ever_loaded() const { return ever_loaded_; }
     [[nodiscard]] const Open* open(const std::string& id) const;
     [[nodiscard]] std::optional<bool> final_word(const std::string& id) const;  // aborted?
     [[nodiscard]] const std::map<std::string, Open>& all_open() const { return open_; }
@@ -64,6 +65,7 @@
     net::Port& port_;
     store::StoreClient& store_;
     bool loaded_ = false;
+    bool ever_loaded_ = false;
     bool loading_ = false;
     std::uint64_t revision_ = 0;
     std::map<std::string, Open> open_;
--- a/src/wire/cbor_messages.cpp
+++ b/src/wire/cbor_messages.cpp
@@ -124,6 +124,48 @@
 
 }  // namespace
 
+std::string encode_passed_request(const PassedRequest& request) {
+    Encoder e;
+    e.array(3);
+    e.text(request.method);
+    e.text(request.target);
+    e.text(request.body);
+    return e.take();
+}
+
+std::optional<PassedRequest> decode_passed_request(std::string_view bytes) {
+    const auto item = load(bytes);
+    Entries in(item.get());
+    PassedRequest request;
+    request.method = in.text();
+    request.target = in.text();
+    request.body = in.text();
+    if (!in.good()) return std::nullopt;
+    return request;
+}
+
+std::string encode_passed_answer(const PassedAnswer& answer) {
+    Encoder e;
+    e.array(3);
+    e.uint(static_cast<std::uint64_t>(answer.status));
+    e.uint(static_cast<std::uint64_t>(answer.retry_after_s));
+    e.text(answer.body);
+    return e.take();
+}
+
+std::optional<PassedAnswer> decode_passed_answer(std::string_view bytes) {
+    const auto item = load(bytes);
+    Entries in(item.get());
+    PassedAnswer answer;
+    const auto status = in.uint();
+    const auto retry = in.uint();
+    answer.body = in.text();
+    if (!in.good() || status < 200 || status > 599 || retry > 600) return std::nullopt;
+    answer.status = static_cast<int>(status);
+    answer.retry_after_s = static_cast<int>(retry);
+    return answer;
+}
+
 std::string encode_report(const core::Report& r) {
     Encoder e;
     e.array(10);
@@ -230,9 +272,10 @@
 
 std::string encode_announcement(const Announcement& a) {
     Encoder e;
-    e.array(3);
+    e.array(4);
     e.text(a.member);
     e.uint(a.token);
+    e.boolean(a.store_good);
     e.array(a.counts.size());
     for (const auto& job : a.counts) {
         e.array(3);
@@ -249,6 +292,7 @@
     Announcement a;
     a.member = in.text();
     a.token = in.uint();
+    a.store_good = in.boolean();
     Entries counts(in.next());
     while (counts.left() > 0) {
         Entries c(counts.next());
--- a/src/wire/cbor_messages.h
+++ b/src/wire/cbor_messages.h
@@ -25,9 +25,26 @@
 struct Announcement {
     std::string member;
     std::uint64_t token = 0;
+    bool store_good = false;  // the state service answers the leader
     std::vector<JobCounts> counts;
 };
 
+// A user's request that a node passes on because the state service refuses it alone.
+struct PassedRequest {
+    std::string method;
+    std::string target;
+    std::string body;
+};
+struct PassedAnswer {
+    int status = 0;
+    int retry_after_s = 0;
+    std::string body;
+};
+
+std::string encode_passed_request(const PassedRequest& request);
+std::optional<PassedRequest> decode_passed_request(std::string_view bytes);
+std::string encode_passed_answer(const PassedAnswer& answer);
+std::optional<PassedAnswer> decode_passed_answer(std::string_view bytes);
 std::string encode_report(const core::Report& report);
 std::optional<core::Report> decode_report(std::string_view bytes);
 std::string encode_beat_answer(const BeatAnswer& answer);
--- a/tests/user_api_test.cpp
+++ b/tests/user_api_test.cpp
@@ -136,6 +136,20 @@
     EXPECT_EQ(world_.broken(), "");
 }
 
+TEST_F(UserApi, NodeThatTheStateServiceRefusesAlonePassesRequestsOn) {
+    const auto leader = world_.leader();
+    ASSERT_TRUE(leader);
+    const auto other = (*leader + 1) % 3;
+    world_.refuse_node(other, 20'000);
+    world_.advance(world_.now() + 6000);
+    EXPECT_EQ(world_.ask(other, {"POST", "/v2/runs", submission()}).status, 201);
+    EXPECT_EQ(get("/v2/runs/job-000001", other).status, 200);
+    // New connections are better led elsewhere.
+    EXPECT_EQ(get("/healthz", other).status, 503);
+    world_.advance(world_.now() + 25'000);
+    EXPECT_EQ(get("/healthz", other).status, 200);
+}
+
 TEST_F(UserApi, RefusedAtOnceWhenTheStateServiceIsOut) {
     world_.state_outage(20'000);
     world_.advance(world_.now() + 1500);
