--- a/src/wire/cbor_messages.cpp
+++ b/src/wire/cbor_messages.cpp
@@ -49,7 +49,36 @@
 };
 using ItemPtr = std::unique_ptr<cbor_item_t, Decref>;
 
+// libcbor reserves what an array's head promises before it reads on: a damaged head would ask for
+// gigabytes. No array can have more entries than there are bytes left, and we send no maps.
+bool sane(std::string_view bytes) {
+    struct State {
+        std::size_t left = 0;
+        bool good = true;
+    } state;
+    auto callbacks = cbor_empty_callbacks;
+    callbacks.array_start = [](void* context, std::size_t size) {
+        auto& s = *static_cast<State*>(context);
+        s.good &= size <= s.left;
+    };
+    callbacks.map_start = [](void* context, std::size_t) {
+        static_cast<State*>(context)->good = false;
+    };
+    callbacks.indef_array_start = callbacks.indef_map_start = callbacks.string_start =
+        callbacks.byte_string_start =
+            [](void* context) { static_cast<State*>(context)->good = false; };
+    for (std::size_t at = 0; at < bytes.size() && state.good;) {
+        state.left = bytes.size() - at;
+        const auto result = cbor_stream_decode(reinterpret_cast<cbor_data>(bytes.data()) + at,
+                                               state.left, &callbacks, &state);
+        if (result.status != CBOR_DECODER_FINISHED || result.read == 0) return false;
+        at += result.read;
+    }
+    return state.good;
+}
+
 ItemPtr load(std::string_view bytes) {
+    if (!sane(bytes)) return nullptr;
     cbor_load_result result{};
     ItemPtr item(cbor_load(reinterpret_cast<cbor_data>(bytes.data()), bytes.size(), &result));
     return result.error.code == CBOR_ERR_NONE ? std::move(item) : nullptr;
