Leave room for wrong estimates in the slack to finish

Cause: recordings of one short task waited 85 s behind others as their slack looked large, then ran longer than estimated.

--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -80,6 +80,8 @@
             {[self](const core::JobText& text, std::uint64_t rev) {
                  if (self->stopped_) return;
                  self->with([&](core::Cluster& c) { c.add_job(text, rev, self->port_.now()); });
+                 self->host_.log_info("job " + text.id + " (" + text.cls + ") is open, " +
+                                      std::to_string(text.count) + " tasks");
                  self->changed();
              },
              [self](const std::string& id, bool aborted) {
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -22,6 +22,7 @@
 // Seconds left until the next aim that can still be met is lost. What has lost them all waits like
 // something with moderate time left: it neither goes before what can still be in time nor starves.
 double slack_of(const JobSpec& spec, double age_s, double guarantee_s) {
+    constexpr double kEstimateRoom = 1.4;  // estimates are often wrong by half
     constexpr double kNoAim = 120;
     constexpr double kAllLost = 30;
     double slack = 1e9;
@@ -32,8 +33,8 @@
     };
     for (double s : spec.start_within_s) aim(s - age_s);
     if (guarantee_s > 0) aim(guarantee_s - age_s);
-    for (double s : spec.finish_within_s) aim(s - age_s - spec.estimate_s);
-    if (spec.deadline_s) aim(*spec.deadline_s - age_s - spec.estimate_s);
+    for (double s : spec.finish_within_s) aim(s - age_s - spec.estimate_s * kEstimateRoom);
+    if (spec.deadline_s) aim(*spec.deadline_s - age_s - spec.estimate_s * kEstimateRoom);
     if (slack < 1e9) return slack;
     return any ? kAllLost : kNoAim - age_s;
 }
