Probe a failing state service, so that users are taken again as soon as it answers

Cause: after an outage a node refused users without asking the state service until its open watch returned, up to 10 s later. It asks a small question every 0.4 s now. The test got 503 before.

--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -421,6 +421,9 @@
         self->with([&](core::Cluster& c) {
             c.returned(names, answer == cloud::Answer::Ok, self->port_.now());
         });
+        if (answer == cloud::Answer::Ok) {
+            for (const auto& name : names) self->direct_pause_.erase(name);
+        }
         if (answer == cloud::Answer::Ok) {
             self->host_.log_info("returned " + std::to_string(names.size()) + " machines, " +
                                  names.front());
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr Millis kForgetGone = 15 * 60 * 1000;
 constexpr std::size_t kMostWarm = 16;
 constexpr double kRateFor = 120'000;
 constexpr Millis kWarmFor = 600'000;
@@ -187,7 +188,13 @@
         machine.name = name;
         machine.first_seen = now;
         machine.rented_at = now;
-        machines_.push_back(std::move(machine));
+        if (free_machines_.empty()) {
+            machines_.push_back(std::move(machine));
+        } else {
+            it->second = free_machines_.back();
+            free_machines_.pop_back();
+            machines_[it->second] = std::move(machine);
+        }
     }
     Machine& machine = machines_[it->second];
     if (!type.empty() && machine.type == kNone) {
@@ -930,9 +937,20 @@
     // A report goes missing, the worker waits 4 s for its answer and a second for the next node.
     const auto patience = settings_.report_ms * 5 / 4 + 5000 + 1500;
     for (auto& machine : machines_) {
-        if (machine.life == Machine::Life::Gone || machine.life == Machine::Life::Returning) {
+        if (machine.life == Machine::Life::Gone) {
+            // Its place is used again once no late report or list is to be expected; without that
+            // a leader of many days would grow without bound.
+            if (machine.name.empty() || now - machine.return_asked < kForgetGone ||
+                !machine.holds.empty()) {
+                continue;
+            }
+            free_machines_.push_back(machine_ids_.at(machine.name));
+            machine_ids_.erase(machine.name);
+            machine = Machine{};
+            machine.life = Machine::Life::Gone;
             continue;
         }
+        if (machine.life == Machine::Life::Returning) continue;
         if (machine.life == Machine::Life::Up) {
             const auto silent = now - std::max(machine.heard_at, machine.first_seen);
             // Many silent at once is a cut of ours rather than their fault.
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -254,6 +254,7 @@
     std::vector<Machine> machines_;
     std::unordered_map<std::string, MachineIx> machine_ids_;
     std::vector<Hold> holds_;
+    std::vector<MachineIx> free_machines_;
     std::vector<HoldIx> free_holds_;
     std::set<std::pair<JobIx, std::uint32_t>> dirty_;  // records to write
     std::vector<std::string> orphans_;
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t kMostQueued = 400;
 constexpr Millis kTimeout = 1500;
+constexpr Millis kProbeEvery = 400;
 constexpr std::size_t kPageItems = 200;
 
 Outcome plain_outcome(const net::HttpReply& reply) {
@@ -116,12 +117,25 @@
     if (status == 429) pause_until_ = now + 150;
     if (status == 0 || status == 503) {
         if (first_bad_ == 0) first_bad_ = now;
+        probe();
     } else {
         first_bad_ = 0;
         last_good_ = now;
     }
 }
 
+void StoreClient::probe() {
+    // While the service fails, users are refused without asking it, and open watches wait: without
+    // a question of our own a node would learn late that it answers again.
+    if (probing_) return;
+    probing_ = true;
+    port_.after(kProbeEvery, [this, alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired()) return;
+        probing_ = false;
+        if (first_bad_ != 0) get(Lane::Read, "token", [](Outcome, const wire::Item&) {});
+    });
+}
+
 bool StoreClient::responsive() const {
     const auto now = port_.now();
     if (first_bad_ != 0 && now - first_bad_ > 300) return false;
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -82,6 +82,7 @@
     void launch(Pending pending);
     void refill();
     void note(int status);
+    void probe();
 
     net::Port& port_;
     StoreSettings settings_;
@@ -92,6 +93,7 @@
     Millis pause_until_ = 0;
     std::array<std::deque<Pending>, 4> queues_;
     bool timer_ = false;
+    bool probing_ = false;
     Millis last_good_ = 0;
     Millis first_bad_ = 0;                               // 0: no failure since the last good answer
     std::deque<std::pair<std::uint64_t, Millis>> open_;  // requests under way, oldest first
--- a/tests/user_api_test.cpp
+++ b/tests/user_api_test.cpp
@@ -150,6 +150,21 @@
     EXPECT_EQ(get("/healthz", other).status, 200);
 }
 
+TEST_F(UserApi, AcceptsAgainSoonAfterAnOutage) {
+    world_.state_outage(4000);
+    world_.advance(world_.now() + 1500);
+    // Users who are refused ask nothing of the state service; the node has to find out itself.
+    for (std::size_t n = 0; n < 3; ++n) {
+        EXPECT_EQ(world_.ask(n, {"POST", "/v2/runs", submission()}).status, 503);
+    }
+    world_.advance(world_.now() + 4500);
+    for (std::size_t n = 0; n < 3; ++n) {
+        const auto reply = world_.ask(n, {"POST", "/v2/runs", submission()});
+        EXPECT_TRUE(reply.status == 201 || reply.status == 200) << n << ": " << reply.status;
+        EXPECT_EQ(get("/healthz", n).status, 200) << n;
+    }
+}
+
 TEST_F(UserApi, RefusedAtOnceWhenTheStateServiceIsOut) {
     world_.state_outage(20'000);
     world_.advance(world_.now() + 1500);
