--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -235,10 +235,15 @@
         std::string_view(request.target).substr(0, request.target.find('?'));
     if (target == "/healthz") {
         if (request.method != "GET") return respond({405, wire::error_body("use GET")});
-        if (!feed_.ever_loaded()) return respond({503, wire::error_body("not ready")});
-        // Refused by the state service alone: users are better served elsewhere.
-        if (store_.failing_for() > kAloneFor && leader_is_good()) {
-            return respond({503, wire::error_body("the state service refuses this node")});
+        // A node that can pass requests on serves users as well as any other: being taken out of
+        // turn would cost them more. One that reaches neither state service nor leader must go,
+        // or users would be refused here for as long as the cut lasts.
+        if (!feed_.ever_loaded() && !leader_is_good()) {
+            return respond({503, wire::error_body("not ready")});
+        }
+        const bool deaf = known_.heard_at > 0 && port_.now() - known_.heard_at > kLeaderFresh;
+        if (!leader_ && store_.failing_for() > kAloneFor && deaf) {
+            return respond({503, wire::error_body("cut off")});
         }
         return respond({200, "{}"});
     }
