--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kBatchBytes = 40'000;
 constexpr int kMostBatches = 2;
 constexpr int kRetryAfterS = 1;
+constexpr Millis kTellEvery = 3000;
 
 const char* word(bool aborted) { return aborted ? "aborted" : "done"; }
 
@@ -28,6 +29,12 @@
 
 void UserApi::refuse(const net::Respond& respond, const char* reason) {
     ++refused_;
+    // Counted, and told once in a while: a flood of refusals must not become a flood of lines.
+    if (port_.now() - refusals_told_ > kTellEvery && spdlog::should_log(spdlog::level::info)) {
+        refusals_told_ = port_.now();
+        spdlog::info("member={} refused {} requests since the start, the last: {}",
+                     settings_.member, refused_, reason);
+    }
     respond({503, wire::error_body(reason), kRetryAfterS});
 }
 
--- a/src/control/user_api.h
+++ b/src/control/user_api.h
@@ -22,7 +22,6 @@
     [[nodiscard]] const std::vector<core::MachineType>& types() const { return types_; }
     // What the leader says of running jobs, for display.
     void set_counts(const std::vector<wire::JobCounts>& counts);
-    [[nodiscard]] std::uint64_t refused() const { return refused_; }
 
   private:
     struct Submission {
@@ -49,6 +48,7 @@
     std::unordered_map<std::string, std::vector<net::Respond>> doubles_;  // under way already
     int batches_ = 0;
     std::uint64_t refused_ = 0;
+    Millis refusals_told_ = -100000;
 };
 
 }  // namespace lichendrift::control
