--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -1234,10 +1234,21 @@
         machine.life = Machine::Life::Returning;
         applied.lines.push_back("idle machine " + machine.name + " is returned");
     }
+    // Emptying several machines in a row left jobs waiting beside half-empty machines that took
+    // nothing any more: one in a while, and all are taken back as soon as room is short.
+    for (auto& machine : machines_) {
+        if (!plan.short_of_room || !machine.emptying || machine.life != Machine::Life::Up) continue;
+        machine.emptying = false;
+        machine.drain = machine.condemned;
+        applied.lines.push_back("machine " + machine.name + " is kept after all");
+    }
     for (auto mix : plan.drains) {
         Machine& machine = machines_[mix];
         if (machine.life != Machine::Life::Up || machine.drain) continue;
+        if (now - drained_at_ < settings_.tuning.drain_every_ms) continue;
+        drained_at_ = now;
         machine.drain = true;
+        machine.emptying = true;
         applied.lines.push_back("machine " + machine.name + " is emptied to be returned");
         const auto held = machine.holds;
         for (auto hix : held) {
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -60,6 +60,7 @@
     bool synced = false;     // its newest report carries this leader's token
     bool drain = false;      // no new work; returned when empty
     bool condemned = false;  // drained because it is faulty
+    bool emptying = false;   // drained to save its price: taken back when room is short
     bool listed = false;
     bool failed = false;
     bool running = false;  // by the list
@@ -254,6 +255,7 @@
     std::vector<Machine> machines_;
     std::unordered_map<std::string, MachineIx> machine_ids_;
     std::vector<Hold> holds_;
+    Millis drained_at_ = -1'000'000;
     std::vector<MachineIx> free_machines_;
     std::vector<HoldIx> free_holds_;
     std::set<std::pair<JobIx, std::uint32_t>> dirty_;  // records to write
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -643,6 +643,7 @@
     // and in use: what saves is moved, the rest is left to end. The dearest goes first. The
     // protocol lets tasks be stopped to return a machine.
     void drain_one() {
+        plan_.short_of_room = !demands_.empty();
         if (!demands_.empty() || !plan_.stops.empty()) return;
         std::size_t best = machines_.size();
         for (std::size_t i = 0; i < machines_.size(); ++i) {
--- a/src/core/planner.h
+++ b/src/core/planner.h
@@ -43,9 +43,10 @@
     Millis starving_ms = 60000;    // a gang that waits longer gets a claim
     Millis idle_keep_ms = 45000;
     std::uint32_t spare_machines = 1;
-    double rent_patience_s = 20;       // a place that is free that soon needs no new machine
-    double dear_patience_s = 60;       // the same before an ordinary machine is rented
-    Millis drain_after_ms = 30000;     // work that ran less is not moved to empty a machine
+    double rent_patience_s = 20;    // a place that is free that soon needs no new machine
+    double dear_patience_s = 60;    // the same before an ordinary machine is rented
+    Millis drain_after_ms = 30000;  // work that ran less is not moved to empty a machine
+    Millis drain_every_ms = 6000;
     Millis dear_idle_keep_ms = 10000;  // ordinary machines are kept idle for less long
 };
 
@@ -135,6 +136,7 @@
     std::vector<Rent> rents;
     std::vector<MachineIx> returns;
     std::vector<MachineIx> drains;  // emptied, then returned
+    bool short_of_room = false;     // something that may run found no place
 };
 
 // The placement rule of the design: each gang whole per candidate zone, tightest fit, victims of
--- /dev/null
+++ b/tests/cluster_test.cpp
@@ -0,0 +1,95 @@
+// The picture and its gate, driven directly.
+#include "core/cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace lichendrift::core {
+namespace {
+
+class ClusterTest : public ::testing::Test {
+  protected:
+    ClusterTest() : cluster_(settings(), types_, zones_) {
+        MachineType type;
+        type.name = "box";
+        type.room = {8000, 2000, 16000};
+        type.hourly = 4;
+        type.spot_hourly = 1;
+        type.zones = {"a"};
+        cluster_.set_types({type});
+    }
+    static ClusterSettings settings() {
+        ClusterSettings s;
+        s.teams = {{"core", {}, {6000, 0, 0}}};
+        s.token = 3;
+        return s;
+    }
+    void beat(const std::string& name, std::uint64_t seq, Millis now, std::uint64_t token = 3) {
+        Report r;
+        r.machine = name;
+        r.endpoint = "10.0.0.1:1";
+        r.type = "box";
+        r.zone = "a";
+        r.session = 1;
+        r.seq = seq;
+        r.token = token;
+        cluster_.on_report(r, true, now);
+    }
+    bool usable(std::size_t machine, Millis now) {
+        return cluster_.snapshot(now, 0).machines.at(machine).usable;
+    }
+    Names types_;
+    Names zones_;
+    Cluster cluster_;
+};
+
+TEST_F(ClusterTest, EmptiedMachinesAreTakenBackWhenRoomIsShort) {
+    beat("host-1", 1, 1000);
+    beat("host-2", 1, 1000);
+    Plan plan;
+    plan.drains = {0, 1};
+    cluster_.apply(plan, 1100);
+    EXPECT_FALSE(usable(0, 1200));
+    // One at a time: work that could not move yet must not lose all its room at once.
+    EXPECT_TRUE(usable(1, 1200));
+    Plan next;
+    next.short_of_room = true;
+    cluster_.apply(next, 1300);
+    EXPECT_TRUE(usable(0, 1400));
+}
+
+TEST_F(ClusterTest, NothingStartsBeforeAReportCarriesTheToken) {
+    beat("host-1", 1, 1000, 2);
+    EXPECT_FALSE(usable(0, 1100));
+    beat("host-1", 2, 1200, 3);
+    EXPECT_TRUE(usable(0, 1300));
+    // A late copy of the older report changes nothing.
+    beat("host-1", 1, 1400, 2);
+    EXPECT_TRUE(usable(0, 1500));
+}
+
+TEST_F(ClusterTest, GateRefusesWhatThePlannerMustNotAsk) {
+    beat("host-1", 1, 1000);
+    JobText job;
+    job.id = "job-000001";
+    job.team = "core";
+    job.count = 2;
+    job.cpus = 4;
+    cluster_.add_job(job, 1, 1000);
+    Plan plan;
+    plan.starts.push_back({0, {0, 0}});
+    // 8 CPUs are free, but the team's limit is 6.
+    EXPECT_EQ(cluster_.apply(plan, 1100).refused, 1U);
+    plan.starts[0].machines = {0};
+    EXPECT_EQ(cluster_.apply(plan, 1100).starts, 1U);
+    // Nothing is sent before the record is durable.
+    EXPECT_TRUE(cluster_.beat_orders("host-1", 1, true, 1200).empty());
+    const auto writes = cluster_.next_chunk_writes(8, 40'000, 1200);
+    ASSERT_EQ(writes.size(), 1U);
+    cluster_.chunk_written(writes[0], true, 7, 1300);
+    // Nor while the leader can't be sure that it leads.
+    EXPECT_TRUE(cluster_.beat_orders("host-1", 1, false, 1300).empty());
+    EXPECT_EQ(cluster_.beat_orders("host-1", 1, true, 1300).size(), 1U);
+}
+
+}  // namespace
+}  // namespace lichendrift::core
