--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -9,6 +9,7 @@
 
 constexpr Millis kTick = 250;
 constexpr Millis kPlanSpacing = 60;
+constexpr Millis kHintsEvery = 8000;
 constexpr Millis kListWait = 6000;
 constexpr Millis kRentSpacing = 700;
 constexpr Millis kRentTrouble = 1500;
@@ -172,11 +173,39 @@
                    " open jobs, " + std::to_string(places_.size()) + " records");
     places_.clear();
     places_.shrink_to_fit();
+    load_hints();
     ready_ = true;
+    hints_at_ = now;
     ready_at_ = now;
     tick();
 }
 
+void Leader::load_hints() {
+    // Without them a new leader would fetch again what is there, and late starts follow.
+    store_.get(store::Lane::Place, "images",
+               [self = shared_from_this()](store::Outcome outcome, const wire::Item& item) {
+                   if (self->stopped_ || outcome != store::Outcome::Ok) return;
+                   if (auto hints = wire::parse_image_hints_value(item.value)) {
+                       self->hints_ = item.value;
+                       self->with([&](core::Cluster& c) {
+                           c.load_image_hints(*hints, self->port_.now());
+                       });
+                   }
+               });
+}
+
+void Leader::write_hints() {
+    hints_at_ = port_.now();
+    auto value = wire::image_hints_value(with([](core::Cluster& c) { return c.image_hints(); }),
+                                         store_.value_bytes() * 3 / 4);
+    if (value == hints_) return;
+    hints_ = value;
+    store_.txn(store::Lane::Read, {mine()}, {{"images", std::move(value), 0}},
+               [self = shared_from_this()](const store::TxnResult& result) {
+                   if (!self->stopped_) self->lost(result);
+               });
+}
+
 void Leader::tick() {
     if (stopped_) return;
     const auto now = port_.now();
@@ -196,6 +225,7 @@
         }
         host_.counts_found(std::move(counts));
     }
+    if (now - hints_at_ > kHintsEvery && host_.may_start()) write_hints();
     write();
     return_machines();
     dispatch();
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -60,6 +60,8 @@
     void load_over(std::size_t at);
     void loaded();
     void tick();
+    void load_hints();
+    void write_hints();
     void poll_types();
     void poll_list();
     void sync_machines();
@@ -96,6 +98,8 @@
     bool stopped_ = false;
     bool ready_ = false;
     Millis ready_at_ = 0;
+    Millis hints_at_ = 0;
+    std::string hints_;  // as written last
     bool listed_ = false;
     bool types_known_ = false;
     bool planning_ = false;
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -428,7 +428,8 @@
         }
         if (report.session > machine.session) {
             machine.no_reap.clear();
-            machine.images.clear();
+            // The first report this leader gets says nothing of a change.
+            if (machine.session != 0) machine.images.clear();
             outcome.changed = true;
         }
         machine.session = report.session;
@@ -1040,6 +1041,23 @@
     }
 }
 
+Cluster::ImageHints Cluster::image_hints() const {
+    ImageHints out;
+    for (const auto& machine : machines_) {
+        if (machine.life != Machine::Life::Up || machine.images.empty()) continue;
+        auto& [name, images] = out.emplace_back(machine.name, std::vector<std::string>{});
+        for (auto image : machine.images) images.push_back(images_.name(image));
+    }
+    return out;
+}
+
+void Cluster::load_image_hints(const ImageHints& hints, Millis now) {
+    for (const auto& [name, images] : hints) {
+        Machine& machine = machines_[machine_for(name, "", "", false, now)];
+        for (const auto& image : images) note_image(machine, images_.intern(image));
+    }
+}
+
 Snapshot Cluster::snapshot(Millis now, std::int64_t wall_ms) {
     fill_guarantees();
     Snapshot s;
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -181,6 +181,11 @@
     std::vector<std::string> next_returns(std::size_t most, Millis now);
     void returned(const std::vector<std::string>& names, bool ok, Millis now);
 
+    // Which images are on which machines: only a hint for placing, kept over a change of leader.
+    using ImageHints = std::vector<std::pair<std::string, std::vector<std::string>>>;
+    [[nodiscard]] ImageHints image_hints() const;
+    void load_image_hints(const ImageHints& hints, Millis now);
+
     // Planning.
     Snapshot snapshot(Millis now, std::int64_t wall_ms);
     // Applies what still holds; everything that is not allowed by now is left out.
--- a/src/wire/json_messages.cpp
+++ b/src/wire/json_messages.cpp
@@ -785,6 +785,47 @@
     return over;
 }
 
+std::string image_hints_value(const ImageHints& hints, std::size_t most_bytes) {
+    Buffer b;
+    Writer w(b);
+    w.StartObject();
+    key(w, "m");
+    w.StartArray();
+    for (const auto& [machine, images] : hints) {
+        std::size_t bytes = machine.size() + 16;
+        for (const auto& image : images) bytes += image.size() + 8;
+        if (b.GetSize() + bytes > most_bytes) break;
+        w.StartArray();
+        string(w, machine);
+        for (const auto& image : images) string(w, image);
+        w.EndArray();
+    }
+    w.EndArray();
+    w.EndObject();
+    return text_of(b);
+}
+
+std::optional<ImageHints> parse_image_hints_value(std::string_view value) {
+    rapidjson::Document doc;
+    if (!parse(doc, value)) return std::nullopt;
+    const auto* list = member(doc, "m");
+    if (list == nullptr || !list->IsArray()) return std::nullopt;
+    ImageHints out;
+    for (const auto& entry : list->GetArray()) {
+        if (!entry.IsArray() || entry.Empty()) return std::nullopt;
+        auto& [machine, images] = out.emplace_back();
+        for (const auto& name : entry.GetArray()) {
+            if (!name.IsString()) return std::nullopt;
+            if (machine.empty()) {
+                machine = name.GetString();
+            } else {
+                images.emplace_back(name.GetString());
+            }
+        }
+    }
+    return out;
+}
+
 std::string leader_value(const LeaderMark& mark) {
     Buffer b;
     Writer w(b);
--- a/src/wire/json_messages.h
+++ b/src/wire/json_messages.h
@@ -87,6 +87,9 @@
 };
 std::string leader_value(const LeaderMark& mark);
 std::optional<LeaderMark> parse_leader_value(std::string_view value);
+using ImageHints = std::vector<std::pair<std::string, std::vector<std::string>>>;
+std::string image_hints_value(const ImageHints& hints, std::size_t most_bytes);
+std::optional<ImageHints> parse_image_hints_value(std::string_view value);
 std::string types_value(const std::vector<core::MachineType>& types);
 
 }  // namespace lichendrift::wire
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "wire/json_messages.h"
+
 namespace lichendrift::core {
 namespace {
 
@@ -67,6 +69,16 @@
     EXPECT_TRUE(usable(0, 1500));
 }
 
+TEST_F(ClusterTest, ImagesAreKnownOverAChangeOfLeader) {
+    cluster_.load_image_hints({{"host-1", {"img-a", "img-b"}}}, 500);
+    beat("host-1", 1, 1000);
+    const auto hints = cluster_.image_hints();
+    ASSERT_EQ(hints.size(), 1U);
+    EXPECT_EQ(hints[0].second, (std::vector<std::string>{"img-a", "img-b"}));
+    EXPECT_EQ(wire::parse_image_hints_value(wire::image_hints_value(hints, 4000)), hints);
+    EXPECT_TRUE(wire::parse_image_hints_value(wire::image_hints_value(hints, 20))->empty());
+}
+
 TEST_F(ClusterTest, GateRefusesWhatThePlannerMustNotAsk) {
     beat("host-1", 1, 1000);
     JobText job;
