--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -37,10 +37,10 @@
 }
 
 void CloudClient::types(OnTypes done) {
-    call({"GET", "/flavors", ""}, kTimeout, [done = std::move(done)](net::HttpReply reply) {
+    call({"GET", "/flavors", ""}, kTimeout, [this, done = std::move(done)](net::HttpReply reply) {
         if (answer_of(reply) != Answer::Ok) return done(answer_of(reply), {});
         auto types = wire::parse_types(reply.body);
-        if (!types) return done(Answer::Trouble, {});
+        if (!types) return malformed_.note(port_.now()), done(Answer::Trouble, {});
         done(Answer::Ok, std::move(*types));
     });
 }
@@ -48,10 +48,10 @@
 void CloudClient::rent(const std::string& request, const std::string& type, const std::string& zone,
                        bool spot, std::uint32_t number, OnRented done) {
     call({"POST", "/rentals", wire::rental_body(request, type, zone, spot, number)}, kTimeout,
-         [done = std::move(done)](net::HttpReply reply) {
+         [this, done = std::move(done)](net::HttpReply reply) {
              if (answer_of(reply) != Answer::Ok) return done(answer_of(reply), {});
              auto names = wire::parse_rented(reply.body);
-             if (!names) return done(Answer::NoAnswer, {});
+             if (!names) return malformed_.note(port_.now()), done(Answer::NoAnswer, {});
              done(Answer::Ok, std::move(*names));
          });
 }
@@ -73,6 +73,7 @@
              if (alive.expired()) return;
              auto page =
                  answer_of(reply) == Answer::Ok ? wire::parse_listing(reply.body) : std::nullopt;
+             if (!page && reply.status == 200) malformed_.note(port_.now());
              if (!page) return done(Answer::Trouble, std::move(so_far), {});
              const bool go_on = page->more && !page->machines.empty() &&
                                 page->machines.back().name > since && so_far.size() < kMostListed;
--- a/src/cloud/cloud_client.h
+++ b/src/cloud/cloud_client.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 
+#include "net/malformed.h"
 #include "net/port.h"
 #include "wire/json_messages.h"
 
@@ -43,6 +44,7 @@
     double rps_;
     double share_ = 0.15;
     double tokens_ = 2;
+    net::Malformed malformed_{"the cloud"};
     Millis filled_at_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -283,7 +283,7 @@
 void Controller::beat(const std::string& body, net::Respond respond) {
     auto report = wire::parse_report(body);
     if (!report) {
-        ++bad_messages_;
+        malformed_workers_.note(port_.now());
         return respond({400, wire::error_body("malformed report")});
     }
     highest_token_ = std::max(highest_token_, report->token);
@@ -312,6 +312,7 @@
         [this, token, respond = std::move(respond)](const net::HttpReply& reply) {
             --forwarding_;
             auto answer = reply.status == 200 ? wire::decode_beat_answer(reply.body) : std::nullopt;
+            if (reply.status == 200 && !answer) malformed_siblings_.note(port_.now());
             // An answer with a lower token would be dropped and keep the worker here.
             if (!answer || answer->token < token) {
                 return respond({503, wire::error_body("no leader answers"), 1});
@@ -325,7 +326,7 @@
     if (request.target == "/peer/beat") {
         auto report = wire::decode_report(request.body);
         if (!report) {
-            ++bad_messages_;
+            malformed_siblings_.note(port_.now());
             return respond({400, "", 0, false, true});
         }
         if (!leader_) return respond({503, "", 0, false, true});
@@ -336,7 +337,7 @@
     if (request.target == "/peer/user") {
         auto passed = wire::decode_passed_request(request.body);
         if (!passed) {
-            ++bad_messages_;
+            malformed_siblings_.note(port_.now());
             return respond({400, "", 0, false, true});
         }
         // Handled here and never passed on again, so that it can't go round.
@@ -351,7 +352,7 @@
     if (request.target == "/peer/leader") {
         auto word = wire::decode_announcement(request.body);
         if (!word) {
-            ++bad_messages_;
+            malformed_siblings_.note(port_.now());
             return respond({400, "", 0, false, true});
         }
         highest_token_ = std::max(highest_token_, word->token);
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -4,6 +4,7 @@
 
 #include "control/leader.h"
 #include "control/user_api.h"
+#include "net/malformed.h"
 
 namespace lichendrift::control {
 
@@ -78,7 +79,8 @@
     Millis announced_at_ = 0;
     int forwarding_ = 0;
     int passing_ = 0;
-    std::uint64_t bad_messages_ = 0;
+    net::Malformed malformed_workers_{"a worker"};
+    net::Malformed malformed_siblings_{"a sibling"};
     bool asking_types_ = false;
 };
 
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -495,6 +495,7 @@
                    auto report = reply.status == 200 || reply.status == 409
                                      ? wire::parse_report(reply.body)
                                      : std::nullopt;
+                   if (reply.status == 200 && !report) self->malformed_.note(at);
                    if (report && report->machine != orders.machine) report.reset();
                    const auto result = reply.status == 200 ? Result::Executed
                                        : reply.status == 409 || reply.status == 400 ||
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -9,6 +9,7 @@
 #include "control/feed.h"
 #include "control/settings.h"
 #include "core/cluster.h"
+#include "net/malformed.h"
 #include "wire/cbor_messages.h"
 
 namespace lichendrift::control {
@@ -118,6 +119,7 @@
     int renting_ = 0;
     Millis rent_pause_ = 0;
     std::uint64_t rentals_ = 0;
+    net::Malformed malformed_{"a worker's direct answer"};
     std::set<std::string> direct_open_;
     std::unordered_map<std::string, Millis> direct_pause_;
     struct Place {
--- /dev/null
+++ b/src/net/malformed.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <spdlog/spdlog.h>
+
+#include <cstdint>
+
+#include "core/types.h"
+
+namespace lichendrift::net {
+
+// Counts messages that can't be read and tells of them once in a while; the caller treats each as
+// no answer. Used on the loop's thread only.
+class Malformed {
+  public:
+    explicit Malformed(const char* from) : from_(from) {}
+    void note(core::Millis now) {
+        ++count_;
+        if (told_ != 0 && now - told_ < kTellEvery) return;
+        told_ = now;
+        spdlog::info("malformed message from {}, {} since the start", from_, count_);
+    }
+    [[nodiscard]] std::uint64_t count() const { return count_; }
+
+  private:
+    static constexpr core::Millis kTellEvery = 5000;
+    const char* from_;
+    std::uint64_t count_ = 0;
+    core::Millis told_ = 0;
+};
+
+}  // namespace lichendrift::net
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -146,11 +146,11 @@
 
 void StoreClient::get(Lane lane, const std::string& key, OnItem done) {
     send(lane, {"GET", "/store/" + key, ""}, 0, kTimeout,
-         [done = std::move(done), key](net::HttpReply reply) {
+         [this, done = std::move(done)](net::HttpReply reply) {
              auto outcome = plain_outcome(reply);
              if (outcome != Outcome::Ok) return done(outcome, {});
              auto item = wire::parse_item(reply.body);
-             if (!item) return done(Outcome::Unknown, {});
+             if (!item) return malformed_.note(port_.now()), done(Outcome::Unknown, {});
              done(Outcome::Ok, std::move(*item));
          });
 }
@@ -161,11 +161,11 @@
     if (!since.empty()) target += "&since=" + since;
     target += "&limit=" + std::to_string(kPageItems);
     send(lane, {"GET", std::move(target), ""}, 0, kTimeout,
-         [done = std::move(done)](net::HttpReply reply) {
+         [this, done = std::move(done)](net::HttpReply reply) {
              auto outcome = plain_outcome(reply);
              if (outcome != Outcome::Ok) return done(outcome, {});
              auto page = wire::parse_items(reply.body);
-             if (!page) return done(Outcome::Unknown, {});
+             if (!page) return malformed_.note(port_.now()), done(Outcome::Unknown, {});
              done(Outcome::Ok, std::move(*page));
          });
 }
@@ -173,7 +173,7 @@
 void StoreClient::txn(Lane lane, const std::vector<wire::Condition>& when,
                       const std::vector<wire::Change>& then, OnTxn done) {
     send(lane, {"POST", "/txn", wire::txn_body(when, then)}, then.size(), kTimeout,
-         [done = std::move(done)](net::HttpReply reply) {
+         [this, done = std::move(done)](net::HttpReply reply) {
              TxnResult result;
              result.outcome = plain_outcome(reply);
              if (result.outcome == Outcome::Ok) {
@@ -181,6 +181,7 @@
                  if (rev) {
                      result.revision = *rev;
                  } else {
+                     malformed_.note(port_.now());
                      result.outcome = Outcome::Unknown;
                  }
              } else if (result.outcome == Outcome::Conflict) {
@@ -195,10 +196,13 @@
 void StoreClient::grant(Millis ttl, OnGrant done) {
     const auto sent = port_.now();
     send(Lane::Leadership, {"POST", "/grants", wire::grant_body(static_cast<std::uint64_t>(ttl))},
-         0, 1000, [done = std::move(done), sent](net::HttpReply reply) {
+         0, 1000, [this, done = std::move(done), sent](net::HttpReply reply) {
              auto outcome = plain_outcome(reply);
              const auto id = wire::parse_grant(reply.body);
-             if (outcome == Outcome::Ok && !id) outcome = Outcome::Unknown;
+             if (outcome == Outcome::Ok && !id) {
+                 malformed_.note(port_.now());
+                 outcome = Outcome::Unknown;
+             }
              done(outcome, id.value_or(0), sent);
          });
 }
@@ -223,11 +227,12 @@
           "/watch?prefix=" + prefix + "&since=" + std::to_string(since) +
               "&blockMs=" + std::to_string(block),
           ""},
-         0, block == 0 ? kTimeout : block + 3000, [done = std::move(done)](net::HttpReply reply) {
+         0, block == 0 ? kTimeout : block + 3000,
+         [this, done = std::move(done)](net::HttpReply reply) {
              auto outcome = plain_outcome(reply);
              if (outcome != Outcome::Ok) return done(outcome, {});
              auto page = wire::parse_changes(reply.body);
-             if (!page) return done(Outcome::Unknown, {});
+             if (!page) return malformed_.note(port_.now()), done(Outcome::Unknown, {});
              done(Outcome::Ok, std::move(*page));
          });
 }
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "net/malformed.h"
 #include "net/port.h"
 #include "wire/json_messages.h"
 
@@ -93,6 +94,7 @@
     Millis pause_until_ = 0;
     std::array<std::deque<Pending>, 4> queues_;
     bool timer_ = false;
+    net::Malformed malformed_{"the state service"};
     bool probing_ = false;
     Millis last_good_ = 0;
     Millis first_bad_ = 0;                               // 0: no failure since the last good answer
