--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <thread>
 
+#include "cli/log.h"
 #include "control/controller.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
@@ -86,6 +87,7 @@
     net::TimerId after(net::Millis delay, std::function<void()> fn) override {
         return loop_.after(delay, std::move(fn));
     }
+    void log_context(const std::string& text) override { set_log_context(text); }
     void cancel(net::TimerId id) override { loop_.cancel(id); }
     void plan(std::function<core::Snapshot()> take, std::function<void(core::Plan)> done) override {
         planner_.submit(std::move(take), std::move(done));
@@ -103,6 +105,7 @@
 int serve(const control::Settings& settings) {
     // One arena: two threads need no more, and memory is short.
     ::mallopt(M_ARENA_MAX, 1);
+    set_log_context("member=" + settings.member + " role=starting token=0");
     net::EventLoop loop;
     net::SocketBudget budget;
     budget.most = settings.max_connections > 40 ? settings.max_connections - 20 : 20;
@@ -119,7 +122,7 @@
                           });
     std::string error;
     if (!users.listen(settings.listen, error) || !peers.listen(settings.peer_bind, error)) {
-        spdlog::error("member={} cannot listen on {}", settings.member, error);
+        spdlog::error("cannot listen on {}", error);
         return 1;
     }
     controller.start();
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -60,11 +60,17 @@
 }
 
 void Controller::log_info(const std::string& text) {
-    if (spdlog::should_log(spdlog::level::info)) spdlog::info("{} {}", prefix(), text);
+    if (spdlog::should_log(spdlog::level::info)) {
+        port_.log_context(prefix());
+        spdlog::info("{}", text);
+    }
 }
 
 void Controller::log_debug(const std::string& text) {
-    if (spdlog::should_log(spdlog::level::debug)) spdlog::debug("{} {}", prefix(), text);
+    if (spdlog::should_log(spdlog::level::debug)) {
+        port_.log_context(prefix());
+        spdlog::debug("{}", text);
+    }
 }
 
 // ---- election ----
--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -32,8 +32,7 @@
     // Counted, and told once in a while: a flood of refusals must not become a flood of lines.
     if (port_.now() - refusals_told_ > kTellEvery && spdlog::should_log(spdlog::level::info)) {
         refusals_told_ = port_.now();
-        spdlog::info("member={} refused {} requests since the start, the last: {}",
-                     settings_.member, refused_, reason);
+        spdlog::info("refused {} requests since the start, the last: {}", refused_, reason);
     }
     respond({503, wire::error_body(reason), kRetryAfterS});
 }
@@ -98,8 +97,7 @@
     auto parsed = wire::parse_submission(body);
     if (auto* error = std::get_if<std::string>(&parsed)) {
         if (spdlog::should_log(spdlog::level::debug)) {
-            spdlog::debug("member={} submission refused: {}: {}", settings_.member, *error,
-                          body.substr(0, 400));
+            spdlog::debug("submission refused: {}: {}", *error, body.substr(0, 400));
         }
         return respond({400, wire::error_body(*error)});
     }
--- a/src/net/port.h
+++ b/src/net/port.h
@@ -46,6 +46,8 @@
     // Calls back exactly once, at the deadline at the latest, never from inside call().
     virtual void call(const std::string& address, HttpRequest request, Millis deadline,
                       OnReply on_reply) = 0;
+    // Who speaks in the log from now on.
+    virtual void log_context(const std::string& /*text*/) {}
     virtual TimerId after(Millis delay, std::function<void()> fn) = 0;
     virtual void cancel(TimerId id) = 0;
     // Runs both away from the loop, then `done` on the loop.
