Read the clock anew before starts, rentals and returns; freeze controllers in the tests

Cause: the loop's time is as old as its turn, and a request may wait for its connection; a process that stands still in between sent rentals and returns after another had been elected.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -74,6 +74,7 @@
     DaemonPort(net::EventLoop& loop, net::HttpClient& client)
         : loop_(loop), client_(client), planner_(loop), random_(std::random_device{}()) {}
     net::Millis now() override { return loop_.now(); }
+    net::Millis read_clock() override { return loop_.read_clock(); }
     std::int64_t wall_ms() override {
         timespec ts{};
         ::clock_gettime(CLOCK_REALTIME, &ts);
--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -47,8 +47,9 @@
 }
 
 void CloudClient::rent(const std::string& request, const std::string& type, const std::string& zone,
-                       bool spot, std::uint32_t number, OnRented done) {
-    call({"POST", "/rentals", wire::rental_body(request, type, zone, spot, number)}, kTimeout,
+                       bool spot, std::uint32_t number, Millis not_after, OnRented done) {
+    call({"POST", "/rentals", wire::rental_body(request, type, zone, spot, number), not_after},
+         kTimeout,
          [this, done = std::move(done)](const net::HttpReply& reply) {
              if (answer_of(reply) != Answer::Ok) return done(answer_of(reply), {});
              auto names = wire::parse_rented(reply.body);
@@ -57,8 +58,8 @@
          });
 }
 
-void CloudClient::give_back(const std::vector<std::string>& names, OnDone done) {
-    call({"POST", "/rentals/return", wire::return_body(names)}, kTimeout,
+void CloudClient::give_back(const std::vector<std::string>& names, Millis not_after, OnDone done) {
+    call({"POST", "/rentals/return", wire::return_body(names), not_after}, kTimeout,
          [done = std::move(done)](const net::HttpReply& reply) { done(answer_of(reply)); });
 }
 
--- a/src/cloud/cloud_client.h
+++ b/src/cloud/cloud_client.h
@@ -29,9 +29,10 @@
         std::function<void(Answer, std::vector<core::ListedMachine>, std::set<std::string>)>;
 
     void types(OnTypes done);
+    // No token guards these two: they leave before `not_after` or never.
     void rent(const std::string& request, const std::string& type, const std::string& zone,
-              bool spot, std::uint32_t number, OnRented done);
-    void give_back(const std::vector<std::string>& names, OnDone done);
+              bool spot, std::uint32_t number, Millis not_after, OnRented done);
+    void give_back(const std::vector<std::string>& names, Millis not_after, OnDone done);
     // Reads all pages; the answer is Ok only if every page came.
     void list(OnListing done);
 
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -226,7 +226,7 @@
     if (!was) log_info("grant renewed, starts go on");
 }
 
-bool Controller::may_start() { return leader_ && port_.now() < valid_until_; }
+bool Controller::may_start() { return leader_ && port_.read_clock() < valid_until_; }
 
 void Controller::step_down(const std::string& reason) {
     if (!leader_) return;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -48,6 +48,7 @@
 
     // LeaderHost.
     bool may_start() override;
+    Millis sure_until() override { return valid_until_; }
     void step_down(const std::string& reason) override;
     void log_info(const std::string& text) override;
     void log_debug(const std::string& text) override;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -478,18 +478,19 @@
     auto names = with([&](core::Cluster& c) { return c.next_returns(100, now); });
     if (names.empty()) return;
     returning_ = true;
-    cloud_.give_back(names, [self = shared_from_this(), names](cloud::Answer answer) {
-        self->returning_ = false;
-        if (self->stopped_) return;
-        self->with([&](core::Cluster& c) {
-            c.returned(names, answer == cloud::Answer::Ok, self->port_.now());
+    cloud_.give_back(
+        names, host_.sure_until(), [self = shared_from_this(), names](cloud::Answer answer) {
+            self->returning_ = false;
+            if (self->stopped_) return;
+            self->with([&](core::Cluster& c) {
+                c.returned(names, answer == cloud::Answer::Ok, self->port_.now());
+            });
+            if (answer == cloud::Answer::Ok) {
+                self->host_.log_info("returned " + std::to_string(names.size()) + " machines, " +
+                                     names.front());
+                self->changed();
+            }
         });
-        if (answer == cloud::Answer::Ok) {
-            self->host_.log_info("returned " + std::to_string(names.size()) + " machines, " +
-                                 names.front());
-            self->changed();
-        }
-    });
 }
 
 void Leader::dispatch() {
@@ -625,21 +626,28 @@
     ask_rent(request, std::move(type), std::move(zone), rent, 6);
 }
 
+void Leader::rent_again(const std::string& request, const std::string& type,
+                        const std::string& zone, const core::Rent& rent, int tries) {
+    port_.after(1000, [=, self = shared_from_this()] {
+        if (!self->stopped_) self->ask_rent(request, type, zone, rent, tries);
+    });
+}
+
 void Leader::ask_rent(const std::string& request, std::string type, std::string zone,
                       core::Rent rent, int tries) {
+    if (!host_.may_start()) {
+        if (tries > 0) return rent_again(request, std::move(type), std::move(zone), rent, tries - 1);
+        --renting_;
+        return;
+    }
     const auto number = rent.number;
-    cloud_.rent(request, type, zone, rent.spot, number,
+    cloud_.rent(request, type, zone, rent.spot, number, host_.sure_until(),
                 [self = shared_from_this(), request, type, zone, rent, tries, number](
                     cloud::Answer answer, const std::vector<std::string>& names) {
                     if (self->stopped_) return;
                     const auto now = self->port_.now();
                     if (answer == cloud::Answer::NoAnswer && tries > 0) {
-                        self->port_.after(1000, [=] {
-                            if (!self->stopped_) {
-                                self->ask_rent(request, type, zone, rent, tries - 1);
-                            }
-                        });
-                        return;
+                        return self->rent_again(request, type, zone, rent, tries - 1);
                     }
                     --self->renting_;
                     self->rented_at_ = now;
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -18,7 +18,8 @@
 class LeaderHost {
   public:
     virtual ~LeaderHost() = default;
-    virtual bool may_start() = 0;  // surely still the leader by its own clock
+    virtual bool may_start() = 0;     // surely still the leader by its own clock, read anew
+    virtual Millis sure_until() = 0;  // and for how long
     virtual void step_down(const std::string& reason) = 0;
     virtual void log_info(const std::string& text) = 0;
     virtual void log_debug(const std::string& text) = 0;
@@ -77,6 +78,8 @@
     void ask_plan();
     void planned(const core::Plan& plan);
     void rent(const core::Rent& rent);
+    void rent_again(const std::string& request, const std::string& type, const std::string& zone,
+                    const core::Rent& rent, int tries);
     void ask_rent(const std::string& request, std::string type, std::string zone, core::Rent rent,
                   int tries);
     void changed();
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -54,6 +54,8 @@
     void turn(Millis longest);
     void stop() { stopped_ = true; }
     [[nodiscard]] Millis now() const { return now_; }
+    // Read anew: the process may have stood still since the turn began.
+    [[nodiscard]] Millis read_clock() const { return clock_(); }
     static Millis steady_clock();
 
   private:
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -34,6 +34,7 @@
         reply_ = {};
         complete_ = false;
         wrote_ = false;
+        not_after_ = request.not_after;
         http_parser_init(&parser_, HTTP_RESPONSE);
         parser_.data = this;
         out_ = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
@@ -107,6 +108,8 @@
     }
 
     void flush() {
+        // Whoever stood still may have lost what gave the right to send this.
+        if (!wrote_ && not_after_ != 0 && client_.loop_.read_clock() > not_after_) return fail();
         while (!out_.empty()) {
             const auto n = ::send(fd_.get(), out_.data(), out_.size(), MSG_NOSIGNAL);
             if (n < 0) {
@@ -176,6 +179,7 @@
     OnReply on_reply_;
     EventLoop::TimerId timer_ = 0;
     Millis idle_since_ = 0;
+    Millis not_after_ = 0;
     bool connected_ = false;
     bool wrote_ = false;
     bool waits_to_write_ = true;  // as it is opened, to learn of the connection
--- a/src/net/port.h
+++ b/src/net/port.h
@@ -17,6 +17,9 @@
     std::string method;
     std::string target;
     std::string body;
+    // Nothing of it leaves after this steady time, however long the process stood still before;
+    // 0: no such bound.
+    Millis not_after = 0;
 };
 
 struct HttpReply {
@@ -40,7 +43,8 @@
 class Port {
   public:
     virtual ~Port() = default;
-    virtual Millis now() = 0;            // steady
+    virtual Millis now() = 0;            // steady, as of the last wait
+    virtual Millis read_clock() = 0;     // steady, read anew: for what depends on the grant
     virtual std::int64_t wall_ms() = 0;  // time of day
     virtual std::uint64_t random() = 0;
     // Calls back exactly once, at the deadline at the latest, never from inside call().
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -123,6 +123,31 @@
     EXPECT_LE(budget_.open, 7U);
 }
 
+// The process may stand still between the check that it leads and the moment at which the
+// connection is there: no token guards what goes to the cloud.
+TEST_F(NetTest, RequestWithABoundNeverLeavesAfterIt) {
+    int served = 0;
+    serve(20, [&](const HttpRequest&, Respond respond) {
+        ++served;
+        respond({200, "{}"});
+    });
+    HttpClient client(loop_, budget_);
+    std::vector<HttpReply> replies;
+    const auto ask = [&](Millis stands_still) {
+        client.call("127.0.0.1:" + std::to_string(port_), {"POST", "/x", "{}", now_ + 100}, 5000,
+                    [&](HttpReply reply) { replies.push_back(std::move(reply)); });
+        now_ += stands_still;
+        turn();
+    };
+    ask(3000);
+    ask(50);
+    ASSERT_EQ(replies.size(), 2U);
+    EXPECT_EQ(replies[0].status, 0);
+    EXPECT_FALSE(replies[0].sent);
+    EXPECT_EQ(replies[1].status, 200);
+    EXPECT_EQ(served, 1);
+}
+
 TEST_F(NetTest, ClientKeepsToTheLimitOfSocketsAndSaysWhatNeverLeft) {
     std::vector<Respond> all;
     serve(60, [&](const HttpRequest&, Respond respond) { all.push_back(std::move(respond)); });
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -58,23 +58,25 @@
         // Steady clocks drift apart.
         return world_.now_ + world_.now_ * static_cast<Millis>(node_) / 4000;
     }
+    Millis read_clock() override { return now(); }
     std::int64_t wall_ms() override { return 1'700'000'000'000 + world_.now_; }
     std::uint64_t random() override { return world_.rng_(); }
     void call(const std::string& address, net::HttpRequest request, Millis deadline,
               net::OnReply on_reply) override {
         world_.call(node_name(node_), address, std::move(request), deadline,
-                    guard<net::HttpReply>(std::move(on_reply)));
+                    guard(std::move(on_reply)));
     }
     net::TimerId after(Millis delay, std::function<void()> fn) override {
         const auto id = ++next_;
         timers_.insert(id);
-        world_.at(world_.now_ + std::max<Millis>(delay, 0),
-                  [this, id, fn = std::move(fn), alive = std::weak_ptr<bool>(alive_)] {
-                      if (alive.expired() || timers_.erase(id) == 0) return;
-                      fn();
-                  });
+        fire(world_.now_ + std::max<Millis>(delay, 0), [this, id, fn = std::move(fn)] {
+            if (timers_.erase(id) != 0) fn();
+        });
         return id;
     }
+    // Stands still until then, while its clock runs on and messages pile up.
+    void freeze(Millis until) { frozen_until_ = std::max(frozen_until_, until); }
+    [[nodiscard]] Millis frozen_until() const { return frozen_until_; }
     void cancel(net::TimerId id) override { timers_.erase(id); }
     void plan(std::function<core::Snapshot()> take, std::function<void(core::Plan)> done) override {
         auto plan = core::make_plan(take());
@@ -84,16 +86,25 @@
     }
 
   private:
-    template <typename T>
-    std::function<void(T)> guard(std::function<void(T)> fn) {
-        return [fn = std::move(fn), alive = std::weak_ptr<bool>(alive_)](T value) {
-            if (!alive.expired()) fn(std::move(value));
+    void fire(Millis when, std::function<void()> fn) {
+        world_.at(when, [this, fn = std::move(fn), alive = std::weak_ptr<bool>(alive_)]() mutable {
+            if (alive.expired()) return;
+            if (frozen_until_ > world_.now_) return fire(frozen_until_, std::move(fn));
+            fn();
+        });
+    }
+    net::OnReply guard(net::OnReply fn) {
+        return [this, fn = std::move(fn), alive = std::weak_ptr<bool>(alive_)](net::HttpReply got) {
+            if (alive.expired()) return;
+            if (frozen_until_ <= world_.now_) return fn(std::move(got));
+            fire(frozen_until_, [fn, got = std::move(got)] { fn(got); });
         };
     }
     World& world_;
     std::size_t node_;
     net::TimerId next_ = 0;
     std::set<net::TimerId> timers_;
+    Millis frozen_until_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -223,6 +234,12 @@
     trouble_until(now_ + for_ms);
 }
 
+void World::freeze(std::size_t node, Millis for_ms) {
+    if (!nodes_[node].port) return;
+    nodes_[node].port->freeze(now_ + for_ms);
+    trouble_until(now_ + for_ms);
+}
+
 void World::refuse_node(std::size_t node, Millis for_ms) {
     refused_until_[node] = now_ + for_ms;
     trouble_until(now_ + for_ms);
@@ -338,6 +355,10 @@
     if (host.size() == 2 && host[0] == 'n') {
         auto& node = nodes_[static_cast<std::size_t>(host[1] - '0')];
         if (!node.controller) return;
+        if (const auto thaw = node.port->frozen_until(); thaw > now_) {
+            at(thaw, [this, from, to, request, respond] { serve(from, to, request, respond); });
+            return;
+        }
         if (to.ends_with(":2")) return node.controller->handle_peer(request, std::move(respond));
         return node.controller->handle(request, std::move(respond));
     }
@@ -1213,7 +1234,7 @@
         return up.empty() ? nullptr : up[dice(up.size())];
     };
     const auto both = chance(0.25);  // a second trouble at once
-    switch (dice(19)) {
+    switch (dice(21)) {
         case 0:
             crash(node, options_.restart_ms);
             break;
@@ -1281,8 +1302,21 @@
                    [this, again] { crash(again, 50 + static_cast<Millis>(dice(300))); });
             }
             break;
+        case 18:
+            freeze(node, span);
+            break;
+        case 19:
+            // Stands still as the leader, as one that stands, or while it takes over.
+            if (auto l = leader()) {
+                crash(*l, options_.restart_ms);
+                for (std::size_t n = 0; n < nodes_.size(); ++n) {
+                    if (chance(0.5)) continue;
+                    at(now_ + static_cast<Millis>(dice(4000)), [this, n, span] { freeze(n, span); });
+                }
+            }
+            break;
         default:
-            if (auto l = leader()) crash(*l, options_.restart_ms);
+            if (auto l = leader()) freeze(*l, chance(0.5) ? span : 500 + span / 5);
             break;
     }
     at(now_ + (both ? 1 : 1500 + static_cast<Millis>(dice(7000))), [this] { fault(); });
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -136,6 +136,8 @@
         trouble_until(outage_until_);
     }
     void refuse_node(std::size_t node, Millis for_ms);
+    // The process stands still, its clocks run on, what is sent to it waits.
+    void freeze(std::size_t node, Millis for_ms);
     void cloud_outage(Millis for_ms) {
         cloud_outage_until_ = now_ + for_ms;
         trouble_until(cloud_outage_until_);
