--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -49,8 +49,7 @@
 void CloudClient::rent(const std::string& request, const std::string& type, const std::string& zone,
                        bool spot, std::uint32_t number, Millis not_after, OnRented done) {
     call({"POST", "/rentals", wire::rental_body(request, type, zone, spot, number), not_after},
-         kTimeout,
-         [this, done = std::move(done)](const net::HttpReply& reply) {
+         kTimeout, [this, done = std::move(done)](const net::HttpReply& reply) {
              if (answer_of(reply) != Answer::Ok) return done(answer_of(reply), {});
              auto names = wire::parse_rented(reply.body);
              if (!names) return malformed_.note(port_.now()), done(Answer::NoAnswer, {});
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -478,19 +478,19 @@
     auto names = with([&](core::Cluster& c) { return c.next_returns(100, now); });
     if (names.empty()) return;
     returning_ = true;
-    cloud_.give_back(
-        names, host_.sure_until(), [self = shared_from_this(), names](cloud::Answer answer) {
-            self->returning_ = false;
-            if (self->stopped_) return;
-            self->with([&](core::Cluster& c) {
-                c.returned(names, answer == cloud::Answer::Ok, self->port_.now());
-            });
-            if (answer == cloud::Answer::Ok) {
-                self->host_.log_info("returned " + std::to_string(names.size()) + " machines, " +
-                                     names.front());
-                self->changed();
-            }
-        });
+    cloud_.give_back(names, host_.sure_until(),
+                     [self = shared_from_this(), names](cloud::Answer answer) {
+                         self->returning_ = false;
+                         if (self->stopped_) return;
+                         self->with([&](core::Cluster& c) {
+                             c.returned(names, answer == cloud::Answer::Ok, self->port_.now());
+                         });
+                         if (answer == cloud::Answer::Ok) {
+                             self->host_.log_info("returned " + std::to_string(names.size()) +
+                                                  " machines, " + names.front());
+                             self->changed();
+                         }
+                     });
 }
 
 void Leader::dispatch() {
@@ -636,7 +636,8 @@
 void Leader::ask_rent(const std::string& request, std::string type, std::string zone,
                       core::Rent rent, int tries) {
     if (!host_.may_start()) {
-        if (tries > 0) return rent_again(request, std::move(type), std::move(zone), rent, tries - 1);
+        if (tries > 0)
+            return rent_again(request, std::move(type), std::move(zone), rent, tries - 1);
         --renting_;
         return;
     }
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -1311,7 +1311,8 @@
                 crash(*l, options_.restart_ms);
                 for (std::size_t n = 0; n < nodes_.size(); ++n) {
                     if (chance(0.5)) continue;
-                    at(now_ + static_cast<Millis>(dice(4000)), [this, n, span] { freeze(n, span); });
+                    at(now_ + static_cast<Millis>(dice(4000)),
+                       [this, n, span] { freeze(n, span); });
                 }
             }
             break;
