Handle reports before users when all come at once; idle sockets make room

Now the one unused for longest is closed. A full server looked at all its connections for each new one; it now keeps a list of the idle ones. All back at once: reports and renewals waited behind users in the order of arrival; users' requests now wait for all others that are there, 5 ms of them each turn, at most 1.5 s. Ruled out: shedding by the length of the queue; it is bounded by the connections, and each answer costs no more than a refusal.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -113,14 +113,18 @@
     net::HttpClient client(loop, budget);
     DaemonPort port(loop, client);
     control::Controller controller(port, settings);
-    net::HttpServer users(loop, budget, kMostBody, budget.most * 7 / 10,
-                          [&](const net::HttpRequest& request, net::Respond respond) {
-                              controller.handle(request, std::move(respond));
-                          });
-    net::HttpServer peers(loop, budget, kMostPeerBody, budget.most / 10 + 4,
-                          [&](const net::HttpRequest& request, net::Respond respond) {
-                              controller.handle_peer(request, std::move(respond));
-                          });
+    net::HttpServer users(
+        loop, budget, kMostBody, budget.most * 7 / 10,
+        [&](const net::HttpRequest& request, net::Respond respond) {
+            controller.handle(request, std::move(respond));
+        },
+        control::Controller::can_wait);
+    net::HttpServer peers(
+        loop, budget, kMostPeerBody, budget.most / 10 + 4,
+        [&](const net::HttpRequest& request, net::Respond respond) {
+            controller.handle_peer(request, std::move(respond));
+        },
+        control::Controller::can_wait);
     std::string error;
     if (!users.listen(settings.listen, error) || !peers.listen(settings.peer_bind, error)) {
         spdlog::error("cannot listen on {}", error);
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -244,6 +244,10 @@
 
 // ---- beats ----
 
+bool Controller::can_wait(const net::HttpRequest& request) {
+    return request.target.starts_with("/v2/") || request.target == "/peer/user";
+}
+
 void Controller::handle(const net::HttpRequest& request, net::Respond respond) {
     const std::string_view target =
         std::string_view(request.target).substr(0, request.target.find('?'));
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -20,6 +20,8 @@
     void handle(const net::HttpRequest& request, net::Respond respond);
     // Requests of the other controllers.
     void handle_peer(const net::HttpRequest& request, net::Respond respond);
+    // Users' requests, here or passed on, wait for reports, health checks and siblings.
+    static bool can_wait(const net::HttpRequest& request);
 
     [[nodiscard]] bool leading() const { return leader_ != nullptr; }
     [[nodiscard]] std::uint64_t token() const { return leader_ ? leader_->token() : 0; }
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -11,6 +11,13 @@
 
 namespace lichendrift::net {
 
+namespace {
+
+// Of each turn: about as long as a turn full of events takes on a slow machine.
+constexpr Millis kLaterTime = 5;
+
+}  // namespace
+
 void Fd::reset() {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
 }
@@ -106,6 +113,16 @@
     }
 }
 
+void EventLoop::run_later() {
+    if (later_.empty()) return;
+    const auto until = clock_() + kLaterTime;
+    do {
+        auto fn = std::move(later_.front());
+        later_.pop_front();
+        fn();
+    } while (!later_.empty() && clock_() < until);
+}
+
 void EventLoop::run() {
     while (!stopped_) turn(1000);
 }
@@ -117,6 +134,7 @@
     if (!timers_.empty()) {
         wait = std::clamp<Millis>(timers_.begin()->first.first - now_, 0, longest);
     }
+    if (!later_.empty()) wait = 0;
     const int n = ::epoll_wait(epoll_.get(), events.data(), events.size(), static_cast<int>(wait));
     now_ = clock_();
     for (int i = 0; i < n; ++i) {
@@ -127,6 +145,7 @@
         (*handler)(event.events);
     }
     run_timers();
+    run_later();
 }
 
 }  // namespace lichendrift::net
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,6 +50,9 @@
     TimerId after(Millis delay, std::function<void()> fn);
     void cancel(TimerId id);
     void post(std::function<void()> fn);
+    // Work that may wait for what is urgent: run after a turn's events and timers, for a bounded
+    // time each turn.
+    void later(std::function<void()> fn) { later_.push_back(std::move(fn)); }
     void run();
     // One round: waits for events for at most so long, then runs what is due.
     void turn(Millis longest);
@@ -61,6 +65,7 @@
   private:
     void run_timers();
     void run_posted();
+    void run_later();
 
     std::function<Millis()> clock_;
     Fd epoll_;
@@ -73,6 +78,7 @@
     TimerId next_timer_ = 0;
     std::mutex mutex_;
     std::vector<std::function<void()>> posted_;
+    std::deque<std::function<void()>> later_;
 };
 
 }  // namespace lichendrift::net
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cerrno>
+#include <optional>
 
 namespace lichendrift::net {
 
@@ -13,6 +14,7 @@
 
 constexpr std::size_t kMostPerAddress = 48;
 constexpr std::size_t kMostIdle = 6;
+constexpr std::size_t kSpareSockets = 8;  // for what the process opens besides
 constexpr Millis kIdleTime = 20000;
 constexpr std::size_t kMostBody = 8 << 20;
 
@@ -58,8 +60,14 @@
         fd_.reset();
         client_.closed(address_);
     }
-    [[nodiscard]] bool usable() const { return fd_.valid(); }
+    [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] Millis idle_since() const { return idle_since_; }
+    void set_idle(Idle::iterator at) {
+        idle_since_ = client_.loop_.now();
+        idle_at_ = at;
+    }
+    [[nodiscard]] Idle::iterator idle_at() const { return *idle_at_; }
+    void set_used() { idle_at_.reset(); }
 
   private:
     static const http_parser_settings& callbacks() {
@@ -149,10 +157,8 @@
         on_reply_ = nullptr;
         auto reply = std::move(reply_);
         reply_ = {};
-        auto& pool = client_.pools_[address_];
-        if (keep && keep_alive_ && pool.idle.size() < kMostIdle) {
-            idle_since_ = client_.loop_.now();
-            pool.idle.push_back(shared_from_this());
+        if (keep && keep_alive_ && client_.pools_[address_].idle.size() < kMostIdle) {
+            client_.park(shared_from_this());
         } else {
             shut();
         }
@@ -163,7 +169,8 @@
         client_.loop_.cancel(timer_);
         auto done = std::move(on_reply_);
         on_reply_ = nullptr;
-        std::erase(client_.pools_[address_].idle, shared_from_this());
+        const auto keep = shared_from_this();
+        if (idle_at_) client_.unpark(*idle_at_);
         shut();
         HttpReply reply;
         reply.sent = wrote_;
@@ -179,6 +186,7 @@
     OnReply on_reply_;
     EventLoop::TimerId timer_ = 0;
     Millis idle_since_ = 0;
+    std::optional<Idle::iterator> idle_at_;  // none: in use
     Millis not_after_ = 0;
     bool connected_ = false;
     bool wrote_ = false;
@@ -206,19 +214,37 @@
     --pools_[address].open;
 }
 
+void HttpClient::park(const std::shared_ptr<Connection>& connection) {
+    const auto at = idle_.insert(idle_.end(), connection);
+    connection->set_idle(at);
+    pools_[connection->address()].idle.push_back(at);
+}
+
+std::shared_ptr<HttpClient::Connection> HttpClient::unpark(Idle::iterator at) {
+    auto connection = std::move(*at);
+    std::erase(pools_[connection->address()].idle, at);
+    idle_.erase(at);
+    connection->set_used();
+    return connection;
+}
+
+// A fleet has more workers than there are sockets to keep open to them: without giving up the ones
+// that nobody uses, the state service could not be asked any more.
+bool HttpClient::make_room() {
+    while (budget_.open + kSpareSockets >= budget_.most && !idle_.empty()) {
+        unpark(idle_.begin())->shut();
+    }
+    return budget_.open + kSpareSockets < budget_.most;
+}
+
 void HttpClient::call(const std::string& address, const HttpRequest& request, Millis deadline,
                       OnReply on_reply) {
     auto& pool = pools_[address];
-    while (!pool.idle.empty()) {
-        auto connection = std::move(pool.idle.back());
-        pool.idle.pop_back();
-        if (!connection->usable()) continue;
-        connection->start(request, deadline, std::move(on_reply));
+    if (!pool.idle.empty()) {
+        unpark(pool.idle.back())->start(request, deadline, std::move(on_reply));
         return;
     }
-    if (pool.open >= kMostPerAddress || budget_.open + 8 >= budget_.most) {
-        return fail_soon(std::move(on_reply));
-    }
+    if (pool.open >= kMostPerAddress || !make_room()) return fail_soon(std::move(on_reply));
     auto fd = connect_to(address);
     if (!fd.valid()) return fail_soon(std::move(on_reply));
     ++pool.open;
@@ -229,12 +255,8 @@
 }
 
 void HttpClient::sweep() {
-    for (auto& [address, pool] : pools_) {
-        while (!pool.idle.empty() && loop_.now() - pool.idle.front()->idle_since() > kIdleTime) {
-            auto connection = std::move(pool.idle.front());
-            pool.idle.pop_front();
-            connection->shut();
-        }
+    while (!idle_.empty() && loop_.now() - idle_.front()->idle_since() > kIdleTime) {
+        unpark(idle_.begin())->shut();
     }
     std::erase_if(pools_, [](const auto& entry) { return entry.second.open == 0; });
     loop_.after(5000, [this] { sweep(); });
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <deque>
+#include <list>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "net/event_loop.h"
 #include "net/http_server.h"
@@ -21,10 +22,14 @@
 
   private:
     class Connection;
+    using Idle = std::list<std::shared_ptr<Connection>>;
     struct Pool {
-        std::deque<std::shared_ptr<Connection>> idle;
+        std::vector<Idle::iterator> idle;  // the one used last at the end
         std::size_t open = 0;
     };
+    void park(const std::shared_ptr<Connection>& connection);
+    std::shared_ptr<Connection> unpark(Idle::iterator at);
+    bool make_room();
     void fail_soon(OnReply on_reply);
     void closed(const std::string& address);
     void sweep();
@@ -32,6 +37,7 @@
     EventLoop& loop_;
     SocketBudget& budget_;
     std::unordered_map<std::string, Pool> pools_;
+    Idle idle_;  // of all addresses, the one unused for longest first
 };
 
 }  // namespace lichendrift::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -8,9 +8,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <optional>
 #include <system_error>
 
 namespace lichendrift::net {
@@ -20,6 +22,8 @@
 constexpr Millis kRequestTime = 10000;  // a request that takes longer to arrive is given up
 constexpr Millis kIdleTime = 60000;
 constexpr Millis kWriteTime = 15000;
+constexpr Millis kLongestWait = 1500;  // for its turn; later the asker is told to come again
+constexpr int kMostBacklog = 4096;
 constexpr std::size_t kMostTarget = 2048;
 constexpr std::size_t kMostHeader = 8192;
 constexpr std::size_t kMostUnsent = 1 << 20;
@@ -68,7 +72,7 @@
 
 }  // namespace
 
-Fd listen_on(const std::string& address, std::string& error) {
+Fd listen_on(const std::string& address, std::size_t backlog, std::string& error) {
     sockaddr_in addr{};
     if (!parse_address(address, addr)) {
         error = "not an address: " + address;
@@ -78,7 +82,7 @@
     const int one = 1;
     ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     if (!fd.valid() || ::bind(fd.get(), reinterpret_cast<sockaddr*>(&addr), sizeof addr) != 0 ||
-        ::listen(fd.get(), 256) != 0) {
+        ::listen(fd.get(), static_cast<int>(std::min<std::size_t>(backlog, kMostBacklog))) != 0) {
         error = address + ": " + std::generic_category().message(errno);
         return Fd();
     }
@@ -108,17 +112,17 @@
     }
 
     void open() {
+        park();
         server_.loop_.add(fd_.get(), EPOLLIN, [self = shared_from_this()](std::uint32_t events) {
             self->on_events(events);
         });
     }
     void shut() {
         if (!fd_.valid()) return;
+        unpark();
         server_.loop_.remove(fd_.get());
         fd_.reset();
     }
-    [[nodiscard]] bool idle() const { return !busy_ && !in_message_ && out_.empty(); }
-    [[nodiscard]] bool worker() const { return worker_; }
     [[nodiscard]] bool overdue(Millis now) const {
         if (busy_) return false;
         const auto limit = !out_.empty()           ? kWriteTime
@@ -126,11 +130,21 @@
                                                    : kIdleTime;
         return now - since_ > limit;
     }
-    [[nodiscard]] Millis since() const { return since_; }
 
   private:
     static Connection& self(http_parser* p) { return *static_cast<Connection*>(p->data); }
 
+    // Users come back on a new connection; workers keep theirs, whose tasks hang on them.
+    void park() {
+        if (worker_ || idle_at_) return;
+        idle_at_ = server_.idle_users_.insert(server_.idle_users_.end(), id_);
+    }
+    void unpark() {
+        if (!idle_at_) return;
+        server_.idle_users_.erase(*idle_at_);
+        idle_at_.reset();
+    }
+
     static const http_parser_settings& callbacks() {
         static const http_parser_settings settings = [] {
             http_parser_settings s{};
@@ -140,6 +154,7 @@
                 c.request_ = {};
                 c.header_bytes_ = 0;
                 c.in_message_ = true;
+                c.unpark();
                 c.since_ = c.server_.loop_.now();
                 return 0;
             };
@@ -244,12 +259,26 @@
         const auto number = ++number_;
         std::weak_ptr<Connection> weak = weak_from_this();
         auto request = std::move(request_);
-        server_.handle_(request, [weak, number](const HttpResponse& response) {
+        Respond respond = [weak, number](const HttpResponse& response) {
             auto c = weak.lock();
             // The peer may have gone, or been answered already.
             if (!c || !c->fd_.valid() || !c->busy_ || c->number_ != number) return;
             c->send(response);
-        });
+        };
+        if (!server_.can_wait_ || !server_.can_wait_(request)) {
+            return server_.handle_(request, std::move(respond));
+        }
+        // Everybody may be back at once: leases hang on reports, so users wait for these. Nothing
+        // is put off for longer than a turn or a few; what was is answered at once.
+        server_.loop_.later(
+            [weak, request = std::move(request), respond = std::move(respond), since = since_] {
+                auto c = weak.lock();
+                if (!c || !c->fd_.valid()) return;
+                if (c->server_.loop_.now() - since > kLongestWait) {
+                    return respond({503, R"({"error":"too much at once"})", 1});
+                }
+                c->server_.handle_(request, respond);
+            });
     }
 
     void send(const HttpResponse& response) {
@@ -285,6 +314,7 @@
         }
         if (out_.size() > kMostUnsent) return server_.close(id_);
         if (out_.empty() && closing_) return server_.close(id_);
+        if (out_.empty() && !busy_ && !in_message_) park();
         const bool want = !out_.empty();
         if (want != writing_) {
             writing_ = want;
@@ -311,22 +341,24 @@
     bool too_large_ = false;
     bool writing_ = false;
     bool worker_ = false;
+    std::optional<std::list<std::uint64_t>::iterator> idle_at_;
 };
 
 HttpServer::HttpServer(EventLoop& loop, SocketBudget& budget, std::size_t most_body,
-                       std::size_t most_connections, Handle handle)
+                       std::size_t most_connections, Handle handle, CanWait can_wait)
     : loop_(loop),
       budget_(budget),
       most_body_(most_body),
       most_connections_(most_connections),
-      handle_(std::move(handle)) {}
+      handle_(std::move(handle)),
+      can_wait_(std::move(can_wait)) {}
 
 HttpServer::~HttpServer() {
     for (auto& [id, connection] : connections_) connection->shut();
 }
 
 bool HttpServer::listen(const std::string& address, std::string& error) {
-    listener_ = listen_on(address, error);
+    listener_ = listen_on(address, most_connections_, error);
     if (!listener_.valid()) return false;
     ++budget_.open;
     loop_.add(listener_.get(), EPOLLIN, [this](std::uint32_t) { accept_all(); });
@@ -350,17 +382,8 @@
 }
 
 bool HttpServer::evict_idle() {
-    // Users come back on a new connection; workers and health checks keep theirs.
-    std::uint64_t oldest = 0;
-    Millis since = loop_.now();
-    for (auto& [id, c] : connections_) {
-        if (c->idle() && !c->worker() && c->since() < since) {
-            since = c->since();
-            oldest = id;
-        }
-    }
-    if (oldest == 0) return false;
-    close(oldest);
+    if (idle_users_.empty()) return false;
+    close(idle_users_.front());
     return true;
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <list>
 #include <memory>
 #include <unordered_map>
 
@@ -15,15 +16,17 @@
 };
 
 // "10.0.0.1:8080" as a bound, listening or connecting socket; invalid when that fails.
-Fd listen_on(const std::string& address, std::string& error);
+Fd listen_on(const std::string& address, std::size_t backlog, std::string& error);
 Fd connect_to(const std::string& address);
 
 class HttpServer {
   public:
     using Handle = std::function<void(const HttpRequest&, Respond)>;
+    using CanWait = std::function<bool(const HttpRequest&)>;
 
+    // What `can_wait` is handled after all that can't and is there already.
     HttpServer(EventLoop& loop, SocketBudget& budget, std::size_t most_body,
-               std::size_t most_connections, Handle handle);
+               std::size_t most_connections, Handle handle, CanWait can_wait = {});
     ~HttpServer();
     bool listen(const std::string& address, std::string& error);
 
@@ -39,9 +42,11 @@
     std::size_t most_body_;
     std::size_t most_connections_;
     Handle handle_;
+    CanWait can_wait_;
     Fd listener_;
     std::uint64_t next_id_ = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> connections_;
+    std::list<std::uint64_t> idle_users_;  // the one idle for longest first
 };
 
 }  // namespace lichendrift::net
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -61,6 +61,45 @@
 
 void answer(const HttpRequest&, Respond respond) { respond({200, "{}"}); }
 
+// All are back at once: what hangs on a lease goes before users, whoever came first, and nobody is
+// left without an answer.
+TEST_F(NetTest, ReportsGoBeforeUsersAndAllAreAnswered) {
+    std::vector<std::string> order;
+    server_.emplace(
+        loop_, budget_, 1000, 400,
+        [&](const HttpRequest& request, Respond respond) {
+            order.push_back(request.target);
+            respond({200, "{}"});
+        },
+        [](const HttpRequest& request) { return request.target.starts_with("/v2/"); });
+    std::string error;
+    for (port_ = 21000; !server_->listen("127.0.0.1:" + std::to_string(port_), error);) ++port_;
+    std::vector<Fd> all;
+    for (int i = 0; i < 60; ++i) all.push_back(connect());
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const std::string target = i % 2 == 0 ? "/v2/runs/x" : "/agent/beat";
+        const auto text = "GET " + target + " HTTP/1.1\r\n\r\n";
+        ASSERT_GT(::send(all[i].get(), text.data(), text.size(), MSG_NOSIGNAL), 0);
+    }
+    turn();
+    ASSERT_EQ(order.size(), 60U);
+    for (std::size_t i = 0; i < 30; ++i) EXPECT_EQ(order[i], "/agent/beat") << i;
+    for (const auto& fd : all) EXPECT_EQ(got(fd).substr(0, 12), "HTTP/1.1 200");
+    // What waited too long for its turn, as after standing still, is told to come again.
+    for (int i = 0; i < 2; ++i) {
+        const std::string text = "GET /v2/runs/x HTTP/1.1\r\n\r\n";
+        ASSERT_GT(::send(all[static_cast<std::size_t>(i)].get(), text.data(), text.size(), 0), 0);
+    }
+    loop_.later([this] { now_ += 3000; });
+    loop_.turn(0);
+    turn();
+    for (std::size_t i = 0; i < 2; ++i) {
+        const auto answer = got(all[i]);
+        EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 503");
+        EXPECT_NE(answer.find("Retry-After: 1"), std::string::npos);
+    }
+}
+
 TEST_F(NetTest, RequestThatArrivesByTheByteIsGivenUp) {
     serve(20, answer);
     const auto slow = connect();
@@ -148,6 +187,34 @@
     EXPECT_EQ(served, 1);
 }
 
+// Idle connections to workers used up the limit, and then nobody could be asked any more.
+TEST_F(NetTest, IdleConnectionsMakeRoomForOtherAddresses) {
+    serve(1, answer);
+    std::vector<std::unique_ptr<HttpServer>> workers;
+    std::vector<std::string> addresses;
+    SocketBudget theirs;
+    for (int port = port_ + 1; workers.size() < 30 && port < port_ + 900; ++port) {
+        std::string error;
+        auto worker = std::make_unique<HttpServer>(loop_, theirs, 1000, 20, answer);
+        if (!worker->listen("127.0.0.1:" + std::to_string(port), error)) continue;
+        workers.push_back(std::move(worker));
+        addresses.push_back("127.0.0.1:" + std::to_string(port));
+    }
+    ASSERT_EQ(workers.size(), 30U);
+    budget_.most = 28;
+    HttpClient client(loop_, budget_);
+    int answered = 0;
+    for (int round = 0; round < 2; ++round) {
+        for (const auto& address : addresses) {
+            client.call(address, {"POST", "/do", "{}"}, 5000,
+                        [&](const HttpReply& reply) { answered += reply.status == 200 ? 1 : 0; });
+            turn();
+            EXPECT_LE(budget_.open, 28U);
+        }
+    }
+    EXPECT_EQ(answered, 60);
+}
+
 TEST_F(NetTest, ClientKeepsToTheLimitOfSocketsAndSaysWhatNeverLeft) {
     std::vector<Respond> all;
     serve(60, [&](const HttpRequest&, Respond respond) { all.push_back(std::move(respond)); });
