Test 2,000 machines back at once, mass losses and cuts in turn; refuse more settings

Settings with impossible values were taken and failed later, each in its own way; they are now refused by name at the start.

--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr double kMost = 1e9;  // of any amount; more can only be a slip, and would overflow later
+constexpr std::size_t kLeastSockets = 40;  // what the process itself, its siblings and region need
+
 class Reader {
   public:
     explicit Reader(Problems& problems) : problems_(problems) {}
@@ -44,6 +47,7 @@
         if (!std::isfinite(*value) || *value < least) {
             return bad(path, key, "expected a number of at least " + trim(least));
         }
+        if (*value > kMost) return bad(path, key, "expected a number of at most " + trim(kMost));
         out = *value;
     }
 
@@ -53,6 +57,9 @@
         if (!node->is_integer() || *node->value<std::int64_t>() < 1) {
             return bad(path, key, "expected a whole number of at least 1");
         }
+        if (*node->value<std::int64_t>() > static_cast<std::int64_t>(kMost)) {
+            return bad(path, key, "expected a whole number of at most " + trim(kMost));
+        }
         out = static_cast<std::size_t>(*node->value<std::int64_t>());
     }
 
@@ -147,9 +154,17 @@
         in.address(*external, "external", "cloud", s.cloud);
         in.address(*external, "external", "state", s.state);
     }
+    if (!s.listen.empty() && s.listen == s.peer_bind) {
+        in.bad("", "peer_bind", "expected another address than listen");
+    }
     s.size = s.siblings.size() + 1;
     if (const auto* t = in.table(file, "", "settings")) {
         if (t->contains("size")) in.count(*t, "settings", "size", s.size);
+        if (s.size < s.siblings.size() + 1) {
+            in.bad("settings", "size",
+                   "expected at least " + std::to_string(s.siblings.size() + 1) +
+                       ", this controller and its siblings");
+        }
         if (t->contains("skew_ms")) in.number(*t, "settings", "skew_ms", 0, s.skew_ms);
         const auto* zones = t->get_as<toml::array>("zones");
         if (zones == nullptr || zones->empty()) {
@@ -175,6 +190,13 @@
             amount("cpus_max", cpus_max);
             amount("gpus", gpus);
             amount("gpus_max", gpus_max);
+            const auto within = [&, where = at](const char* key, double guarantee, double limit) {
+                if (limit > 0 && guarantee > limit) {
+                    in.bad(where, key, "expected no more than the team's limit");
+                }
+            };
+            within("cpus", cpus, cpus_max);
+            within("gpus", gpus, gpus_max);
             if (!teams.insert(out.name).second) {
                 in.bad(at, "name", "'" + out.name + "' is there twice");
             }
@@ -195,6 +217,10 @@
         if (const auto* w = in.table(*t, "settings", "workers")) {
             in.number(*w, "settings.workers", "report_s", 0.05, s.report_s);
             in.number(*w, "settings.workers", "lease_s", 0.1, s.lease_s);
+            // A worker that reports less often than its lease lasts loses all its tasks each time.
+            if (s.lease_s >= 0.1 && s.report_s >= s.lease_s) {
+                in.bad("settings.workers", "lease_s", "expected more than report_s");
+            }
             in.number(*w, "settings.workers", "gang_wait_s", 0.1, s.gang_wait_s);
             in.number(*w, "settings.workers", "gang_peer_s", 0.1, s.gang_peer_s);
             in.number(*w, "settings.workers", "cancel_s", 0.1, s.cancel_s);
@@ -220,6 +246,10 @@
             if (r->contains("mem_mb")) in.number(*r, "settings.resources", "mem_mb", 1, s.mem_mb);
             if (r->contains("max_connections")) {
                 in.count(*r, "settings.resources", "max_connections", s.max_connections);
+                if (s.max_connections < kLeastSockets) {
+                    in.bad("settings.resources", "max_connections",
+                           "expected at least " + std::to_string(kLeastSockets));
+                }
             }
         }
     }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -110,5 +110,117 @@
     }
 }
 
+constexpr std::size_t kMany = 2000;
+
+void settle(World& world, Millis until) {
+    world.advance(until);
+    EXPECT_EQ(world.broken(), "");
+}
+
+// All controllers end in an outage, some twice, and are back together with workers and users on top
+// of a burst: the new leader finds everything where it was, no lease ends, everybody is answered.
+TEST(Fleet, EverybodyIsBackAtOnce) {
+    for (const std::size_t nodes : {3, 5}) {
+        World world(fleet(52, kMany, nodes));
+        world.set_capacity(kMany);
+        for (std::size_t n = 0; n < 20; ++n) {
+            world.jobs().push_back(whole_machines(n, 90, 300));
+        }
+        settle(world, 30'000);
+        EXPECT_EQ(world.total_starts(), 1800U);
+        world.state_outage(9000);
+        for (std::size_t n = 0; n < nodes; ++n) {
+            world.crash(n, 200 + static_cast<Millis>(n) * 150);
+            world.at(world.now() + 4000, [&world, n] { world.crash(n, 3000); });
+        }
+        for (std::size_t n = 100; n < 180; ++n) {
+            auto j = whole_machines(n, 2, 5, world.now() + 500);
+            j.cpus = 4;
+            world.jobs().push_back(j);
+        }
+        for (std::size_t i = 0; i < 1000; ++i) {
+            world.at(world.now() + 8000 + static_cast<Millis>(i), [&world, i, nodes] {
+                char id[32];
+                std::snprintf(id, sizeof id, "/v2/runs/job-%06zu", i % 20);
+                world.throw_at(i % nodes, {"GET", id, ""});
+            });
+        }
+        const auto back = world.now() + 9000;
+        settle(world, back + 4000);
+        EXPECT_EQ(world.thrown_answered(), 1000U);
+        settle(world, back + 20'000);
+        std::size_t lost_leases = 0;
+        for (const auto& [name, w] : world.workers()) lost_leases += w.session > 1 ? 1 : 0;
+        EXPECT_EQ(lost_leases, 0U) << nodes;
+        for (const auto& j : world.jobs()) EXPECT_GE(j.accepted, 0) << j.id;
+        EXPECT_EQ(world.total_starts(), 1960U) << nodes;
+        // Direct commands: a raise for each machine, a start for each task, few more.
+        EXPECT_LE(world.direct_calls(), 4 * kMany + 2 * 1960);
+    }
+}
+
+// A tenth of the machines ends or hangs in the same second, while half of the cheap ones are taken.
+TEST(Fleet, TenthOfTheMachinesLostInTheSameSecond) {
+    for (const bool hang : {false, true}) {
+        auto options = fleet(53, 100, 5);
+        World world(options);
+        world.set_capacity(320);
+        for (std::size_t i = 0; i < 200; ++i) world.add_worker(i % 2 == 0 ? "a" : "b", true);
+        for (std::size_t n = 0; n < 40; ++n) {
+            auto j = whole_machines(n, 5, 40, static_cast<Millis>(n) * 500);
+            j.spot = n % 3 != 0;
+            if (n % 2 == 0) j.kind = "ensemble";
+            j.one_zone = n % 4 == 0;
+            j.cls = n % 2 == 0 ? "gangs" : "arrays";
+            world.jobs().push_back(j);
+        }
+        world.at(40'000, [&] {
+            std::size_t n = 0;
+            for (auto& [name, w] : world.workers()) {
+                ++n;
+                if (w.spot && n % 2 == 0) w.taken_at = world.now() + 6000;
+                if (n % 10 != 0 || !w.up) continue;
+                if (hang) {
+                    // Within their lease, so that they go on where they were.
+                    w.hung_until = world.now() + 15'000;
+                } else {
+                    world.lose_worker(w);
+                }
+            }
+        });
+        EXPECT_EQ(world.run(), "") << hang;
+    }
+}
+
+// One after the other on the same day: the state service, the siblings, the workers, both zones.
+TEST(Fleet, OneControllerCutFromEachInTurnAndZonesFromEverything) {
+    for (const bool hold : {false, true}) {
+        for (const bool refuse : {false, true}) {
+            if (hold && refuse) continue;
+            World world(fleet(54, 12, 5));
+            world.set_capacity(16);
+            for (std::size_t n = 0; n < 24; ++n) {
+                auto j = whole_machines(n, 2, 12, static_cast<Millis>(n) * 6000);
+                if (n % 2 == 0) j.kind = "ensemble";
+                j.one_zone = n % 4 == 0;
+                world.jobs().push_back(j);
+            }
+            const char* const others[] = {"state", "n", "host", ""};
+            for (std::size_t i = 0; i < 4; ++i) {
+                world.at(
+                    10'000 + static_cast<Millis>(i) * 22'000, [&world, &others, i, hold, refuse] {
+                        const auto leader = world.leader().value_or(0);
+                        world.cut("n" + std::to_string(leader), others[i], 20'000, hold, refuse);
+                    });
+            }
+            world.at(100'000, [&] { world.cut_zone("a", "", 15'000, hold); });
+            world.at(118'000, [&] { world.cut_zone("b", "", 15'000, hold); });
+            world.at(136'000, [&] { world.cut_zone("a", "b", 15'000, hold); });
+            world.at(152'000, [&] { world.cut("n", "n", 15'000, false, true); });
+            EXPECT_EQ(world.run(), "") << hold << refuse;
+        }
+    }
+}
+
 }  // namespace
 }  // namespace lichendrift::standin
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -89,6 +89,13 @@
         {"\"m-1\"", "\"m-0\"", "siblings[0].member: 'm-0' is there twice"},
         {"zones = [\"a\", \"b\"]", "zones = []", "settings.zones: expected a list"},
         {"cpus = 1.5", "cpus = nan", "settings.teams[0].cpus: expected a number"},
+        {"rps = 150.0", "rps = 1e300", "settings.state.rps: expected a number of at most"},
+        {"lease_s = 10.0", "lease_s = 1.0", "settings.workers.lease_s: expected more than"},
+        {"cpus = 1.5", "cpus = 1.5\ncpus_max = 1.0", "settings.teams[0].cpus: expected no more"},
+        {"size = 2", "size = 1", "settings.size: expected at least 2"},
+        {"127.0.0.1:8081", "127.0.0.1:8080", "peer_bind: expected another address"},
+        {"[settings.cloud]", "[settings.resources]\nmax_connections = 10\n[settings.cloud]",
+         "settings.resources.max_connections: expected at least"},
     };
     for (const auto& [from, to, expected] : cases) {
         const auto problems = changed(from, to);
