Keep the machines of a zone that falls silent as a whole

Ruled out: a longer patience for all (machines that end or hang alone would keep their tasks from going on elsewhere). Now a zone of eight or more machines of which less than a fifth is heard counts as cut off: its machines are kept for three leases and nothing is rented there.

--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -16,8 +16,11 @@
 constexpr Millis kRefusedPause = 400;      // after one that was refused
 constexpr Millis kUnansweredPause = 3000;  // after one without an answer
 constexpr Millis kTakenMargin = 1500;
-constexpr int kLostLeases = 3;  // in a row
-constexpr int kDeafMisses = 2;  // a single answer may be lost or late
+constexpr int kLostLeases = 3;                 // in a row
+constexpr std::uint32_t kLeastOfAZone = 8;     // fewer may well have ended together
+constexpr std::uint32_t kHeardOfACutZone = 5;  // of so many, less than one is heard
+constexpr Millis kCutPatience = 3;             // leases
+constexpr int kDeafMisses = 2;                 // a single answer may be lost or late
 
 std::int64_t need_thousandths(double amount) {
     return static_cast<std::int64_t>(std::ceil(amount * 1000.0 - 1e-6));
@@ -1089,6 +1092,26 @@
     }
 }
 
+// A zone that is cut off keeps its machines, their images and, if it is short, their tasks. Giving
+// them back one and all costs a boot and a fetch for each, and what is rented there instead is not
+// heard either.
+void Cluster::note_cut_zones(Millis now) {
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> zones(zones_.size());  // there, heard
+    for (const auto& machine : machines_) {
+        if (machine.zone >= zones.size()) continue;
+        const bool up = machine.life == Machine::Life::Up;
+        if (!up && !(machine.life == Machine::Life::Booting && machine.running)) continue;
+        auto& [there, heard] = zones[machine.zone];
+        ++there;
+        if (up && now - machine.heard_at < settings_.report_ms * 5 / 4 + 1000) ++heard;
+    }
+    zone_cut_.assign(zones.size(), 0);
+    for (std::size_t z = 0; z < zones.size(); ++z) {
+        const auto [there, heard] = zones[z];
+        zone_cut_[z] = there >= kLeastOfAZone && heard * kHeardOfACutZone < there ? 1 : 0;
+    }
+}
+
 std::vector<std::string> Cluster::tick(Millis now, bool sure) {
     std::vector<std::string> lines;
     if (!sure) {
@@ -1096,6 +1119,7 @@
         return lines;
     }
     if (sure_since_ < 0) sure_since_ = now;
+    note_cut_zones(now);
     std::size_t up = 0;
     std::size_t heard = 0;
     std::size_t deaf = 0;
@@ -1116,6 +1140,7 @@
         // Less would give up machines between two of their reports.
         patience = std::max(patience, settings_.report_ms * 5 / 4 + 1000);
     }
+    const auto cut_patience = std::max(patience, settings_.lease_ms * kCutPatience);
     for (auto& machine : machines_) {
         if (machine.life == Machine::Life::Gone) {
             // Its place is used again once no late report or list is to be expected; without that
@@ -1134,7 +1159,8 @@
         if (machine.life == Machine::Life::Up) {
             const auto silent = now - std::max({machine.heard_at, machine.first_seen, sure_since_});
             // Many silent at once is a cut of ours rather than their fault.
-            if (silent > patience && heard * 2 >= up) {
+            const auto bound = in_cut_zone(machine) ? cut_patience : patience;
+            if (silent > bound && heard * 2 >= up) {
                 if (!settings_.guards.silence_is_no_proof) {
                     const auto mix = static_cast<MachineIx>(&machine - machines_.data());
                     release_all(mix, std::numeric_limits<std::uint64_t>::max(), now);
@@ -1194,7 +1220,8 @@
             // A new leader finds machines in the list that have been up for long and has not heard
             // them yet: they get its full patience, whatever their age.
             const auto known = now - machine.first_seen;
-            const auto least = machine.running ? 2 * patience : std::min(limit, 2 * patience);
+            const auto listed_patience = in_cut_zone(machine) ? cut_patience : 2 * patience;
+            const auto least = machine.running ? listed_patience : std::min(limit, 2 * patience);
             const auto age = machine.running ? known : now - machine.rented_at;
             const bool ghost = !machine.listed && !machine.holds.empty() &&
                                now - machine.first_seen > patience + 6000;
@@ -1346,6 +1373,13 @@
     for (const auto& [kind, until] : refused_) {
         if (until.first > now) s.refused.push_back(kind);
     }
+    for (TypeIx t = 0; t < s.type_zones.size(); ++t) {
+        for (auto zone : s.type_zones[t]) {
+            if (zone >= zone_cut_.size() || zone_cut_[zone] == 0) continue;
+            s.refused.emplace_back(t, zone, false);
+            s.refused.emplace_back(t, zone, true);
+        }
+    }
     for (MachineIx mix = 0; mix < machines_.size(); ++mix) {
         const Machine& machine = machines_[mix];
         if (machine.life == Machine::Life::Gone || machine.life == Machine::Life::Returning) {
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -281,6 +281,10 @@
     void append_orders(MachineIx ix, bool direct, std::uint64_t beat_seq, bool may_start,
                        std::vector<Order>& out, Millis now);
     void fill_guarantees(Millis now);
+    void note_cut_zones(Millis now);
+    [[nodiscard]] bool in_cut_zone(const Machine& machine) const {
+        return machine.zone < zone_cut_.size() && zone_cut_[machine.zone] != 0;
+    }
 
     ClusterSettings settings_;
     Names& types_;
@@ -307,6 +311,7 @@
     std::vector<Machine> machines_;
     std::unordered_map<std::string, MachineIx> machine_ids_;
     std::vector<Hold> holds_;
+    std::vector<char> zone_cut_;  // nearly all machines of the zone fell silent together
     Millis drained_at_ = -1'000'000;
     Millis sure_since_ = -1;  // -1: not sure to lead
     std::vector<MachineIx> free_machines_;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -192,6 +192,34 @@
     }
 }
 
+// Its machines were given back one and all, rented anew there and not heard either.
+TEST(Fleet, MachinesOfAZoneThatIsCutOffAreKept) {
+    for (const bool crash : {false, true}) {
+        World world(fleet(55, 10, 5));
+        for (int i = 0; i < 9; ++i) world.add_worker("a", false);
+        world.set_capacity(40);
+        world.jobs().push_back(whole_machines(1, 19, 90));
+        settle(world, 15'000);
+        EXPECT_EQ(world.total_starts(), 19U);
+        world.cut_zone("a", "", 40'000, true);
+        if (crash) {
+            // The next leader has never heard them; it knows them by the list.
+            world.at(30'000, [&] { world.crash(*world.leader(), 3000); });
+        }
+        // Work that finds no room rents nothing there meanwhile.
+        world.jobs().push_back(whole_machines(2, 6, 10, 20'000));
+        std::size_t before = world.workers().size();
+        settle(world, 54'000);
+        for (const auto& [name, w] : world.workers()) {
+            if (w.zone != "a") continue;
+            EXPECT_FALSE(w.gone) << name << crash;
+            EXPECT_EQ(w.rented_at, 0) << name;
+        }
+        EXPECT_GT(world.workers().size(), before);
+        EXPECT_EQ(world.run(), "");
+    }
+}
+
 // One after the other on the same day: the state service, the siblings, the workers, both zones.
 TEST(Fleet, OneControllerCutFromEachInTurnAndZonesFromEverything) {
     for (const bool hold : {false, true}) {
