--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -253,6 +253,9 @@
     [[nodiscard]] bool has_job(const std::string& id) const { return job_ids_.contains(id); }
 
   private:
+    static constexpr double kRateFor = 120'000;  // ms over which arrivals are counted
+    static constexpr int kDeafMisses = 2;        // a single answer may be lost or late
+
     MachineIx machine_for(const std::string& name, const std::string& type, const std::string& zone,
                           bool spot, Millis now);
     HoldIx new_hold(const Hold& hold);
--- /dev/null
+++ b/src/core/holds.cpp
@@ -0,0 +1,180 @@
+// The attempts that count as being on machines: how they come, are stopped and let go.
+#include "core/cluster.h"
+
+namespace lichendrift::core {
+
+HoldIx Cluster::new_hold(const Hold& h) {
+    HoldIx ix;
+    if (free_holds_.empty()) {
+        ix = static_cast<HoldIx>(holds_.size());
+        holds_.push_back(h);
+    } else {
+        ix = free_holds_.back();
+        free_holds_.pop_back();
+        holds_[ix] = h;
+    }
+    Job& job = jobs_[h.job];
+    job.holds.emplace(h.task, ix);
+    machines_[h.machine].holds.push_back(ix);
+    machines_[h.machine].used += job.spec.need;
+    attention_.insert(h.machine);
+    if (job.spec.team != kNone) team_used_[job.spec.team] += job.spec.need;
+    return ix;
+}
+
+void Cluster::release(HoldIx ix, bool requeue, Millis now) {
+    const Hold h = holds_[ix];
+    Job& job = jobs_[h.job];
+    Machine& machine = machines_[h.machine];
+    std::erase(machine.holds, ix);
+    machine.used -= job.spec.need;
+    if (machine.holds.empty()) machine.idle_since = now;
+    if (job.spec.team != kNone) team_used_[job.spec.team] -= job.spec.need;
+    auto [from, to] = job.holds.equal_range(h.task);
+    for (auto it = from; it != to; ++it) {
+        if (it->second == ix) {
+            job.holds.erase(it);
+            break;
+        }
+    }
+    holds_[ix] = Hold{};
+    free_holds_.push_back(ix);
+    if (requeue && !job.over && job.done_flags[h.task] == 0 && !job.holds.contains(h.task)) {
+        if (h.task < job.next_fresh) job.again.insert(h.task);
+        if (job.holds.empty() || !job.spec.gang) job.waiting_since = now;
+        // One task of a gang is gone: the rest cannot go on without it.
+        if (job.spec.gang && job.done == 0) {
+            std::vector<HoldIx> rest;
+            for (auto& [task, other] : job.holds) rest.push_back(other);
+            for (auto other : rest) {
+                if (holds_[other].job == h.job) stop_hold(other, 0, now);
+            }
+        }
+    }
+    drop_if_gone(h.job);
+}
+
+void Cluster::release_all(MachineIx mix, std::uint64_t below_session, Millis now) {
+    // Releasing one may release others of its gang, so the list is read anew each time.
+    for (bool again = true; again;) {
+        again = false;
+        for (auto hix : machines_[mix].holds) {
+            if (holds_[hix].session < below_session) {
+                release(hix, true, now);
+                again = true;
+                break;
+            }
+        }
+    }
+}
+
+void Cluster::drop_if_gone(JobIx ix) {
+    auto it = jobs_.find(ix);
+    if (it == jobs_.end() || !it->second.over || !it->second.holds.empty()) return;
+    for (auto& [number, chunk] : it->second.chunks) {
+        // A write in flight may still create the record: removing it later is harmless.
+        if (chunk.rev != 0 || chunk.writing || chunk.dirty) {
+            orphans_.push_back("place/" + it->second.id + "/" + std::to_string(number));
+        }
+    }
+    job_ids_.erase(it->second.id);
+    jobs_.erase(it);
+}
+
+void Cluster::mark_done(JobIx ix, std::uint32_t task, Millis now) {
+    Job& job = jobs_[ix];
+    auto one = [&](std::uint32_t t) {
+        if (job.done_flags[t] != 0) return;
+        job.done_flags[t] = 1;
+        ++job.done;
+        while (job.next_fresh <= t) job.again.insert(job.next_fresh++);
+        job.again.erase(t);
+        mark_lazy(job, t, now);
+    };
+    if (job.spec.gang) {
+        // A gang completes together: if one task is done, all are.
+        for (std::uint32_t t = 0; t < job.spec.count; ++t) one(t);
+    } else {
+        one(task);
+    }
+}
+
+void Cluster::stop_hold(HoldIx ix, double grace_s, Millis now) {
+    Hold& h = holds_[ix];
+    if (h.state == Hold::State::Planned || h.state == Hold::State::Ready) {
+        // Nothing was sent, so it can be taken back at once.
+        release(ix, true, now);
+        return;
+    }
+    attention_.insert(h.machine);
+    if (!h.stop) {
+        h.stop = true;
+        h.grace_s = grace_s;
+        h.stop_since = now;
+    } else {
+        h.grace_s = std::min(h.grace_s, grace_s);
+    }
+}
+
+void Cluster::stop_with_gang(HoldIx ix, double grace_s, Millis now) {
+    Job& job = jobs_[holds_[ix].job];
+    if (!job.spec.gang) {
+        stop_hold(ix, grace_s, now);
+        return;
+    }
+    const auto jix = holds_[ix].job;
+    std::vector<HoldIx> all;
+    for (auto& [task, other] : job.holds) all.push_back(other);
+    for (auto other : all) {
+        if (holds_[other].job == jix) stop_hold(other, grace_s, now);
+    }
+}
+
+void Cluster::on_exit(HoldIx ix, const TaskReport& task, Millis now) {
+    const Hold h = holds_[ix];
+    Job& job = jobs_[h.job];
+    Machine& machine = machines_[h.machine];
+    switch (task.why) {
+        case ExitWhy::Done:
+            machine.failed_jobs.clear();
+            job.failures = 0;
+            if (!job.over) mark_done(h.job, h.task, now);
+            break;
+        case ExitWhy::Error:
+            note_failure(job, h.machine, now);
+            break;
+        case ExitWhy::Full:
+        case ExitWhy::Busy:
+            machine.quarantine_until = std::max(machine.quarantine_until, now + 1000);
+            break;
+        case ExitWhy::Unknown:
+        case ExitWhy::Alone:
+            job.retry_at = std::max(job.retry_at, now + 2000);
+            break;
+        default:
+            break;
+    }
+    release(ix, true, now);
+}
+
+std::uint32_t Cluster::waiting(const Job& job) const {
+    if (job.over || job.finishing || job.spec.team == kNone) return 0;
+    if (job.spec.gang) return job.holds.empty() && job.done == 0 ? job.spec.count : 0;
+    return static_cast<std::uint32_t>(job.again.size()) + (job.spec.count - job.next_fresh);
+}
+
+std::vector<std::uint32_t> Cluster::take_waiting(const Job& job, std::uint32_t most) const {
+    std::vector<std::uint32_t> out;
+    if (job.spec.gang) {
+        for (std::uint32_t t = 0; t < std::min(most, job.spec.count); ++t) out.push_back(t);
+        return out;
+    }
+    for (auto t : job.again) {
+        if (out.size() >= most) return out;
+        out.push_back(t);
+    }
+    for (auto t = job.next_fresh; t < job.spec.count && out.size() < most; ++t) out.push_back(t);
+    return out;
+}
+
+}  // namespace lichendrift::core
--- /dev/null
+++ b/src/core/machines.cpp
@@ -0,0 +1,348 @@
+// The machines of the fleet: how they become known, are judged, given back and forgotten.
+#include "core/cluster.h"
+
+namespace lichendrift::core {
+
+namespace {
+
+constexpr Millis kForgetGone = 900'000;
+constexpr Millis kTakenMargin = 1500;
+constexpr int kLostLeases = 3;                 // in a row
+constexpr std::uint32_t kLeastOfAZone = 8;     // fewer may well have ended together
+constexpr std::uint32_t kHeardOfACutZone = 5;  // of so many, less than one is heard
+constexpr Millis kCutPatience = 3;             // leases
+
+}  // namespace
+
+MachineIx Cluster::machine_for(const std::string& name, const std::string& type,
+                               const std::string& zone, bool spot, Millis now) {
+    auto [it, fresh] = machine_ids_.try_emplace(name, static_cast<MachineIx>(machines_.size()));
+    if (fresh) {
+        Machine machine;
+        machine.name = name;
+        machine.token = settings_.token;
+        machine.first_seen = now;
+        machine.rented_at = now;
+        if (free_machines_.empty()) {
+            machines_.push_back(std::move(machine));
+        } else {
+            it->second = free_machines_.back();
+            free_machines_.pop_back();
+            machines_[it->second] = std::move(machine);
+        }
+    }
+    Machine& machine = machines_[it->second];
+    if (!type.empty() && machine.type == kNone) {
+        machine.type = types_.intern(type);
+        if (type_info_.size() <= machine.type) type_info_.resize(machine.type + 1);
+        machine.zone = zones_.intern(zone);
+        machine.spot = spot;
+    }
+    return it->second;
+}
+
+bool Cluster::usable(const Machine& machine, Millis now) const {
+    return machine.life == Machine::Life::Up && machine.synced && !machine.drain &&
+           !machine.taken_at && machine.type != kNone && machine.quarantine_until <= now &&
+           machine.deaf_since == 0 && now - machine.heard_at <= settings_.report_ms * 2 + 500;
+}
+
+// Judges a machine by the effect of what it was sent.
+void Cluster::note_effect(MachineIx mix, bool reached, int weight, Millis now) {
+    if (!settings_.guards.judged_by_effect) return;
+    Machine& machine = machines_[mix];
+    if (reached) {
+        machine.misses = 0;
+        machine.deaf_since = 0;
+        return;
+    }
+    machine.misses += weight;
+    if (machine.misses >= kDeafMisses && machine.deaf_since == 0) machine.deaf_since = now;
+}
+
+void Cluster::note_image(Machine& machine, ImageIx image) {
+    std::erase(machine.images, image);
+    machine.images.push_back(image);
+    if (machine.images.size() > 8) machine.images.erase(machine.images.begin());
+}
+
+void Cluster::note_failure(Job& job, MachineIx mix, Millis now) {
+    Machine& machine = machines_[mix];
+    job.failures++;
+    job.failed_on.insert(mix);
+    const auto step = std::min<std::uint32_t>(job.failures, 6);
+    // The first failure is mostly the machine's; a job that fails everywhere waits longer.
+    if (job.failed_on.size() >= 2) {
+        job.retry_at =
+            now + (settings_.policy
+                       ? static_cast<Millis>(settings_.policy->retry_s(facts(job)) * 1000)
+                       : 1000LL << step);
+    }
+    if (job.failed_on.size() <= 2) {
+        machine.failed_jobs.insert(static_cast<JobIx>(job_ids_[job.id]));
+        machine.quarantine_until = now + 3000;
+        if (machine.failed_jobs.size() >= 2) {
+            machine.drain = true;
+            machine.condemned = true;
+        }
+    }
+}
+
+void Cluster::notice(MachineIx mix, double notice_s, Millis now) {
+    Machine& machine = machines_[mix];
+    machine.taken_at = now + static_cast<Millis>(notice_s * 1000);
+    const auto held = machine.holds;
+    for (auto hix : held) {
+        const Hold& h = holds_[hix];
+        if (h.job == kNone || h.stop) continue;
+        const auto& spec = jobs_[h.job].spec;
+        const double ran_s = h.running_since > 0 ? (now - h.running_since) / 1000.0 : 0;
+        if (h.phase == TaskPhase::Running && spec.estimate_s - ran_s < notice_s * 0.7) continue;
+        stop_with_gang(hix, spec.checkpoint_s > 0 ? std::min(notice_s, spec.save_s) : 0, now);
+    }
+}
+
+void Cluster::on_list(const std::vector<ListedMachine>& page, Millis now) {
+    for (const auto& listed : page) {
+        const auto mix = machine_for(listed.name, listed.type, listed.zone, listed.spot, now);
+        Machine& machine = machines_[mix];
+        if (!machine.listed) {
+            machine.listed = true;
+            machine.rented_at =
+                std::min(machine.rented_at, now - static_cast<Millis>(listed.age_s * 1000));
+        }
+        if (machine.endpoint.empty()) machine.endpoint = listed.endpoint;
+        if (listed.state == ListedMachine::State::Running) machine.running = true;
+        if (listed.state == ListedMachine::State::Failed && !machine.failed &&
+            machine.life != Machine::Life::Gone) {
+            machine.failed = true;
+            machine.life = Machine::Life::Returning;
+        }
+    }
+}
+
+void Cluster::on_list_complete(const std::set<std::string>& names, Millis now) {
+    for (auto& machine : machines_) {
+        // A record names it and newer machines are listed, it is not: it was given back before its
+        // tasks were placed anew. Only its return proves that, but nothing has to be waited for.
+        if (machine.life == Machine::Life::Booting && !machine.listed && !machine.holds.empty() &&
+            machine.heard_at == 0 && !names.empty() && machine.name < *names.rbegin()) {
+            machine.life = Machine::Life::Returning;
+            continue;
+        }
+        if (machine.life != Machine::Life::Up || !machine.listed || names.contains(machine.name)) {
+            continue;
+        }
+        // Lists go back at times, so silence is asked for as well.
+        if (now - std::max(machine.heard_at, machine.first_seen) > settings_.report_ms * 2 + 2000) {
+            machine.life = Machine::Life::Returning;
+        }
+    }
+}
+
+void Cluster::on_rented(const std::string& type, const std::string& zone, bool spot,
+                        const std::vector<std::string>& names, Millis now) {
+    for (const auto& name : names) machine_for(name, type, zone, spot, now);
+    refused_.erase({types_.intern(type), zones_.intern(zone), spot});
+}
+
+void Cluster::on_refused(TypeIx type, ZoneIx zone, bool spot, Millis now) {
+    auto& [until, step] = refused_[{type, zone, spot}];
+    step = std::min<Millis>(step == 0 ? 5000 : step * 2, 12000);
+    until = now + step;
+}
+
+std::vector<std::string> Cluster::next_returns(std::size_t most, Millis now) {
+    std::vector<std::string> out;
+    for (auto& machine : machines_) {
+        if (out.size() >= most) break;
+        if (machine.life != Machine::Life::Returning) continue;
+        if (machine.return_asked != 0 && now - machine.return_asked < 3000) continue;
+        machine.return_asked = now;
+        out.push_back(machine.name);
+    }
+    return out;
+}
+
+void Cluster::returned(const std::vector<std::string>& names, bool ok, Millis now) {
+    if (!ok) return;
+    for (const auto& name : names) {
+        auto it = machine_ids_.find(name);
+        if (it == machine_ids_.end()) continue;
+        Machine& machine = machines_[it->second];
+        machine.life = Machine::Life::Gone;
+        machine.synced = false;
+        // There is room for one of its kind again: a refusal from before says nothing any more.
+        refused_.erase({machine.type, machine.zone, machine.spot});
+        exited_.erase(name);
+        release_all(it->second, std::numeric_limits<std::uint64_t>::max(), now);
+    }
+}
+
+// A zone that is cut off keeps its machines, their images and, if it is short, their tasks. Giving
+// them back one and all costs a boot and a fetch for each, and what is rented there instead is not
+// heard either.
+void Cluster::note_cut_zones(Millis now) {
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> zones(zones_.size());  // there, heard
+    for (const auto& machine : machines_) {
+        if (machine.zone >= zones.size()) continue;
+        const bool up = machine.life == Machine::Life::Up;
+        if (!up && !(machine.life == Machine::Life::Booting && machine.running)) continue;
+        auto& [there, heard] = zones[machine.zone];
+        ++there;
+        if (up && now - machine.heard_at < settings_.report_ms * 5 / 4 + 1000) ++heard;
+    }
+    zone_cut_.assign(zones.size(), 0);
+    for (std::size_t z = 0; z < zones.size(); ++z) {
+        const auto [there, heard] = zones[z];
+        zone_cut_[z] = there >= kLeastOfAZone && heard * kHeardOfACutZone < there ? 1 : 0;
+    }
+}
+
+std::vector<std::string> Cluster::tick(Millis now, bool sure) {
+    std::vector<std::string> lines;
+    if (!sure) {
+        sure_since_ = -1;
+        return lines;
+    }
+    if (sure_since_ < 0) sure_since_ = now;
+    note_cut_zones(now);
+    std::size_t up = 0;
+    std::size_t heard = 0;
+    std::size_t deaf = 0;
+    std::size_t losing = 0;
+    for (const auto& machine : machines_) {
+        if (machine.life != Machine::Life::Up) continue;
+        ++up;
+        // With a wider bound some still counted as heard when the first were given up, although
+        // all had fallen silent at once.
+        if (now - machine.heard_at < settings_.report_ms * 5 / 4 + 1000) ++heard;
+        if (machine.deaf_since != 0) ++deaf;
+        if (machine.lost_leases >= kLostLeases) ++losing;
+    }
+    // A report goes missing, the worker waits 4 s for its answer and a second for the next node.
+    auto patience = settings_.report_ms * 5 / 4 + 5000 + 1500;
+    if (settings_.policy) {
+        patience = static_cast<Millis>(settings_.policy->silent_s(fleet_facts()) * 1000);
+        // Less would give up machines between two of their reports.
+        patience = std::max(patience, settings_.report_ms * 5 / 4 + 1000);
+    }
+    const auto cut_patience = std::max(patience, settings_.lease_ms * kCutPatience);
+    for (auto& machine : machines_) {
+        if (machine.life == Machine::Life::Gone) {
+            // Its place is used again once no late report or list is to be expected; without that
+            // a leader of many days would grow without bound.
+            if (machine.name.empty() || now - machine.return_asked < kForgetGone ||
+                !machine.holds.empty()) {
+                continue;
+            }
+            free_machines_.push_back(machine_ids_.at(machine.name));
+            machine_ids_.erase(machine.name);
+            machine = Machine{};
+            machine.life = Machine::Life::Gone;
+            continue;
+        }
+        if (machine.life == Machine::Life::Returning) continue;
+        if (machine.life == Machine::Life::Up) {
+            const auto silent = now - std::max({machine.heard_at, machine.first_seen, sure_since_});
+            // Many silent at once is a cut of ours rather than their fault.
+            const auto bound = in_cut_zone(machine) ? cut_patience : patience;
+            if (silent > bound && heard * 2 >= up) {
+                if (!settings_.guards.silence_is_no_proof) {
+                    const auto mix = static_cast<MachineIx>(&machine - machines_.data());
+                    release_all(mix, std::numeric_limits<std::uint64_t>::max(), now);
+                }
+                machine.life = Machine::Life::Returning;
+                lines.push_back("machine " + machine.name + " silent for " +
+                                std::to_string(silent) + " ms, returned");
+                continue;
+            }
+            // Many deaf at once is a trouble of ours as well.
+            const auto deaf_patience =
+                std::max(patience, settings_.lease_ms + settings_.report_ms * 3);
+            if (machine.deaf_since != 0 && now - machine.deaf_since > deaf_patience &&
+                deaf * 2 <= up) {
+                machine.life = Machine::Life::Returning;
+                lines.push_back("machine " + machine.name + " is not reached for " +
+                                std::to_string(now - machine.deaf_since) + " ms, returned");
+                continue;
+            }
+            // Commands may reach it while answers don't: then its tasks die with each lease.
+            if (settings_.guards.judged_by_effect && machine.lost_leases >= kLostLeases &&
+                losing * 4 <= up) {
+                machine.life = Machine::Life::Returning;
+                lines.push_back("machine " + machine.name +
+                                " loses one lease after the other, returned");
+                continue;
+            }
+            if (machine.lost_leases > 0 && now - machine.session_at > settings_.lease_ms * 3) {
+                machine.lost_leases = 0;
+            }
+            if (machine.drain && machine.holds.empty()) machine.life = Machine::Life::Returning;
+            // Taken as announced: its place can be rented again before its silence would show.
+            if (machine.taken_at && now > *machine.taken_at + kTakenMargin &&
+                machine.heard_at < *machine.taken_at) {
+                machine.life = Machine::Life::Returning;
+                lines.push_back("machine " + machine.name + " was taken as announced");
+                continue;
+            }
+            if (machine.taken_at && now > *machine.taken_at + 60000) machine.taken_at.reset();
+            for (auto hix : machine.holds) {
+                const Hold& h = holds_[hix];
+                // Unwanted and still in doubt: only the machine's return gives certainty.
+                if (h.stop && h.state == Hold::State::Sent && h.direct_doubt &&
+                    now - h.stop_since > settings_.cancel_ms / 3) {
+                    machine.life = Machine::Life::Returning;
+                    lines.push_back("machine " + machine.name + " may still get a late run of " +
+                                    jobs_[h.job].id + ", returned");
+                    break;
+                }
+            }
+        } else {
+            const double boot_s = machine.type != kNone && type_info_[machine.type].boot_s > 0
+                                      ? type_info_[machine.type].boot_s
+                                      : 60;
+            const auto limit = std::max<Millis>(static_cast<Millis>(boot_s * 3000), 60000);
+            // A record can name a machine that no list shows: it is gone, the return proves it.
+            // A new leader finds machines in the list that have been up for long and has not heard
+            // them yet: they get its full patience, whatever their age.
+            const auto known = now - machine.first_seen;
+            const auto listed_patience = in_cut_zone(machine) ? cut_patience : 2 * patience;
+            const auto least = machine.running ? listed_patience : std::min(limit, 2 * patience);
+            const auto age = machine.running ? known : now - machine.rented_at;
+            const bool ghost = !machine.listed && !machine.holds.empty() &&
+                               now - machine.first_seen > patience + 6000;
+            if (ghost || (known > least && age > (machine.running ? least : limit))) {
+                machine.life = Machine::Life::Returning;
+                lines.push_back("machine " + machine.name + " never came up, returned");
+            }
+        }
+    }
+    return lines;
+}
+
+Cluster::ImageHints Cluster::image_hints(std::size_t part, std::size_t parts) const {
+    ImageHints out;
+    for (std::size_t i = part; i < machines_.size(); i += parts) {
+        const auto& machine = machines_[i];
+        if (machine.life != Machine::Life::Up || machine.images.empty()) continue;
+        auto& [name, images] = out.emplace_back(machine.name, std::vector<std::string>{});
+        for (auto image : machine.images) images.push_back(images_.name(image));
+    }
+    return out;
+}
+
+void Cluster::load_image_hints(const ImageHints& hints, Millis now) {
+    for (const auto& [name, images] : hints) {
+        Machine& machine = machines_[machine_for(name, "", "", false, now)];
+        for (const auto& image : images) note_image(machine, images_.intern(image));
+    }
+}
+
+std::size_t Cluster::machine_count() const {
+    return static_cast<std::size_t>(
+        std::count_if(machines_.begin(), machines_.end(),
+                      [](const Machine& m) { return m.life != Machine::Life::Gone; }));
+}
+
+}  // namespace lichendrift::core
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -60,6 +60,12 @@
     auto operator<=>(const Room&) const = default;
 };
 
+// Of a limit, 0 means none.
+[[nodiscard]] inline bool exceeds(const Room& used, const Room& limit) {
+    return (limit.cpus > 0 && used.cpus > limit.cpus) ||
+           (limit.gpus > 0 && used.gpus > limit.gpus) || (limit.mem > 0 && used.mem > limit.mem);
+}
+
 class Names {
   public:
     std::uint32_t intern(std::string_view name) {
