Let take-over and final words cost by what changed; count both at 2,000 machines

Cause, by reading and counting: a new leader asks its machines a few at a time and looked through the fleet from the start for each, so that a take-over grew with the square of the fleet; each changed job looked through all open jobs for one whose tasks are all done. Now the look goes on where it ended, and jobs with all tasks done are kept in a list. Tests count the work at 200 and 2,000 machines, 30 and 3,000 open jobs, and fail without either. Beats and plans are counted at 2,000 machines as well; they needed no change.

--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -321,6 +321,8 @@
     std::vector<HoldIx> free_holds_;
     std::set<std::pair<JobIx, std::uint32_t>> dirty_;  // records to write
     std::set<std::tuple<Millis, JobIx, std::uint32_t>> lazy_;
+    std::set<JobIx> all_done_;       // whose final word is to be written
+    std::size_t ask_from_ = 0;       // where machines_to_ask() goes on
     std::set<MachineIx> attention_;  // machines that may have orders due
     std::vector<std::string> orphans_;
     std::vector<std::string> orphans_writing_;
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -377,8 +377,12 @@
 
 std::vector<std::string> Cluster::machines_to_ask(std::size_t most, Millis now) {
     std::vector<std::string> out;
-    for (const auto& machine : machines_) {
-        if (out.size() >= most) break;
+    // From where the last look ended: asked for a few at a time, a take-over that began anew each
+    // time looked at half of the fleet for each machine.
+    for (std::size_t n = machines_.size(); n > 0 && out.size() < most; --n) {
+        if (ask_from_ >= machines_.size()) ask_from_ = 0;
+        const auto& machine = machines_[ask_from_++];
+        ++work_;
         if (machine.life == Machine::Life::Gone || machine.endpoint.empty()) continue;
         if (machine.calling || machine.call_after > now) continue;
         // One that has gone silent is asked directly as well: its way here may be what is broken.
--- a/src/core/holds.cpp
+++ b/src/core/holds.cpp
@@ -97,6 +97,7 @@
     } else {
         one(task);
     }
+    if (job.done == job.spec.count) all_done_.insert(ix);
 }
 
 void Cluster::stop_hold(HoldIx ix, double grace_s, Millis now) {
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -28,6 +28,7 @@
             job.again.erase(task);
         }
     }
+    if (job.done == job.spec.count) all_done_.insert(found->second);
     for (const auto& placed : record.placed) {
         if (placed.task >= job.spec.count) continue;
         job.started_at = now;
@@ -184,10 +185,17 @@
 }
 
 std::optional<FinalWrite> Cluster::next_final_write(std::size_t most_chunks, Millis now) {
-    for (auto& [jix, job] : jobs_) {
-        if (job.over || job.finishing || job.done < job.spec.count || job.finish_retry_at > now) {
+    for (auto it = all_done_.begin(); it != all_done_.end();) {
+        ++work_;
+        const auto jix = *it;
+        auto found = jobs_.find(jix);
+        if (found == jobs_.end() || found->second.over) {
+            it = all_done_.erase(it);
             continue;
         }
+        ++it;
+        Job& job = found->second;
+        if (job.finishing || job.finish_retry_at > now) continue;
         job.finishing = true;
         FinalWrite write;
         write.job = jix;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,6 +1,8 @@
 // Work has to grow with what changed, not with the fleet. Operations are counted, not time.
 #include <gtest/gtest.h>
 
+#include <deque>
+
 #include "core/cluster.h"
 #include "standin/world.h"
 
@@ -115,9 +117,11 @@
     Fleet small(32, 1.5);
     Fleet fast(328, 1.5);
     Fleet large(1200, 5);
+    Fleet largest(2000, 5);
     const auto base = small.work_of_beats(2000);
     EXPECT_LE(fast.work_of_beats(2000), base + base / 10);
     EXPECT_LE(large.work_of_beats(2000), base + base / 10);
+    EXPECT_LE(largest.work_of_beats(2000), base + base / 10);
     // Five looks for each: itself, two tasks as held and two as reported.
     EXPECT_LE(base, 2000U * 5);
     large.changed_ = 0;
@@ -131,11 +135,76 @@
     const auto base = small.steps_with_waiting_jobs(100);
     const auto grown = large.steps_with_waiting_jobs(100);
     EXPECT_LE(grown, base + base / 4 + 200) << base;
+    Fleet largest(2000, 5);
+    EXPECT_LE(largest.steps_with_waiting_jobs(100), base + base / 4 + 200) << base;
     // Twice as much that waits costs at most about twice as much.
     Fleet more(1200, 5);
     EXPECT_LE(more.steps_with_waiting_jobs(200), grown * 5 / 2);
 }
 
+// Each change asks whether a job can get its final word: among those with all tasks done, not among
+// all that are open.
+TEST(Scale, ChangedJobCostsTheSameHoweverManyAreOpen) {
+    const auto work = [](std::size_t jobs) {
+        Fleet fleet(2000, 5);
+        fleet.steps_with_waiting_jobs(jobs);
+        const auto before = fleet.cluster().work();
+        for (int i = 0; i < 500; ++i) {
+            EXPECT_FALSE(fleet.cluster().next_final_write(8, 100'000));
+            fleet.cluster().machines_with_orders(true, 24, 100'000);
+        }
+        return fleet.cluster().work() - before;
+    };
+    EXPECT_LE(work(3000), work(30) + 100);
+}
+
+// A new leader asks each machine once, a few at a time.
+TEST(Scale, TakeOverGrowsInProportionToTheFleet) {
+    const auto work = [](std::size_t machines) {
+        Names types;
+        Names zones;
+        ClusterSettings settings;
+        settings.token = 2 * kTokensOfALead;
+        Cluster cluster(settings, types, zones);
+        std::vector<ListedMachine> list(machines);
+        for (std::size_t m = 0; m < machines; ++m) {
+            list[m].name = Fleet::name(m);
+            list[m].endpoint = "10.0.0.1:1";
+            list[m].type = "box";
+            list[m].zone = m % 2 == 0 ? "a" : "b";
+            list[m].state = ListedMachine::State::Running;
+        }
+        Millis now = 1000;
+        cluster.on_list(list, now);
+        std::size_t asked = 0;
+        std::deque<Cluster::Direct> under_way;
+        for (;;) {
+            // As the leader does it: whenever one of 24 calls ends, the next machine is asked.
+            for (const auto& name : cluster.machines_to_ask(24 - under_way.size(), now)) {
+                under_way.push_back(cluster.direct_orders(name, true, now));
+            }
+            if (under_way.empty()) break;
+            const auto direct = under_way.front();
+            under_way.pop_front();
+            ++asked;
+            cluster.direct_result(direct, Cluster::DirectResult::Executed, now);
+            Report r;
+            r.machine = direct.machine;
+            r.endpoint = direct.endpoint;
+            r.type = "box";
+            r.zone = "a";
+            r.session = 1;
+            r.seq = 1;
+            r.token = direct.token;
+            cluster.on_report(r, false, now);
+        }
+        EXPECT_EQ(asked, machines);
+        return cluster.work();
+    };
+    const auto base = work(200);
+    EXPECT_LE(work(2000), base * 12);
+}
+
 TEST(Scale, PlanForAnEmptyFleetScoresEachMachineOnceForAJob) {
     // Room everywhere and jobs of many tasks: a trial walks the machines once, not for each task.
     Snapshot s;
