--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -7,28 +7,19 @@
 namespace {
 
 Options fleet(std::uint64_t seed, std::size_t machines, std::size_t nodes = 3) {
-    Options options;
-    options.seed = seed;
+    auto options = calm(seed);
     options.nodes = nodes;
     options.machines = machines;
     options.report_s = 3;
     options.lease_s = 22;
-    options.jobs = 0;
-    options.faults = false;
     options.teams = {{"core", {}, {}}, {"side", {}, {}}};
     return options;
 }
 
 Job whole_machines(std::size_t number, std::uint32_t count, double run_s, Millis submit_at = 0) {
-    Job j;
-    char id[32];
-    std::snprintf(id, sizeof id, "job-%06zu", number);
-    j.id = id;
-    j.count = count;
+    auto j = plain(numbered(number), count, run_s, submit_at);
     j.cpus = 8;
     j.spot = false;
-    j.run_s = run_s;
-    j.submit_at = submit_at;
     return j;
 }
 
@@ -140,9 +131,7 @@
         }
         for (std::size_t i = 0; i < 1000; ++i) {
             world.at(world.now() + 8000 + static_cast<Millis>(i), [&world, i, nodes] {
-                char id[32];
-                std::snprintf(id, sizeof id, "/v2/runs/job-%06zu", i % 20);
-                world.throw_at(i % nodes, {"GET", id, ""});
+                world.throw_at(i % nodes, {"GET", "/v2/runs/" + numbered(i % 20), ""});
             });
         }
         const auto back = world.now() + 9000;
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -6,23 +6,6 @@
 namespace lichendrift::standin {
 namespace {
 
-Options calm(std::uint64_t seed, std::size_t jobs = 0) {
-    Options options;
-    options.seed = seed;
-    options.jobs = jobs;
-    options.faults = false;
-    return options;
-}
-
-Job plain(const std::string& id, std::uint32_t count, double run_s, Millis submit_at = 0) {
-    Job j;
-    j.id = id;
-    j.count = count;
-    j.run_s = run_s;
-    j.submit_at = submit_at;
-    return j;
-}
-
 TEST(Safety, AllControllersRestartAtOnceAndTasksGoOn) {
     World world(calm(1));
     world.jobs().push_back(plain("job-000001", 4, 25));
@@ -183,7 +166,7 @@
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
         World world(calm(seed));
         for (std::size_t i = 0; i < 6; ++i) {
-            auto j = plain("job-00000" + std::to_string(i), 4, 14, static_cast<Millis>(i * 2000));
+            auto j = plain(numbered(i), 4, 14, static_cast<Millis>(i * 2000));
             j.kind = i % 2 == 0 ? "ensemble" : "sweep";
             j.one_zone = i % 3 != 0;
             j.apart = !j.one_zone;
@@ -222,8 +205,7 @@
 TEST(Safety, MachineThatFailsEveryTaskIsReplaced) {
     World world(calm(11));
     for (std::size_t i = 0; i < 6; ++i) {
-        world.jobs().push_back(
-            plain("job-00000" + std::to_string(i), 3, 8, static_cast<Millis>(i * 3000)));
+        world.jobs().push_back(plain(numbered(i), 3, 8, static_cast<Millis>(i * 3000)));
     }
     world.workers().begin()->second.sick = true;
     EXPECT_EQ(world.run(), "");
@@ -233,9 +215,7 @@
     World world(calm(12));
     world.set_capacity(8);
     for (std::size_t i = 0; i < 120; ++i) {
-        char id[16];
-        std::snprintf(id, sizeof id, "job-%06zu", i);
-        world.jobs().push_back(plain(id, 2, 3, 10'000 + static_cast<Millis>(i * 20)));
+        world.jobs().push_back(plain(numbered(i), 2, 3, 10'000 + static_cast<Millis>(i * 20)));
     }
     EXPECT_EQ(world.run(), "");
     EXPECT_LE(world.highest_writes(), 60U);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -246,23 +246,15 @@
 
 // The state service allows few changes for all nodes together: a job may cost only so many.
 TEST(Scale, ChangesOfTheStateServiceForAJobAreBounded) {
-    standin::Options options;
-    options.seed = 41;
-    options.jobs = 0;
-    options.faults = false;
+    auto options = standin::calm(41);
     options.machines = 40;
     options.teams = {{"core", {}, {}}};
     standin::World world(options);
     world.set_capacity(40);
     for (std::size_t n = 0; n < 60; ++n) {
-        standin::Job j;
-        char id[32];
-        std::snprintf(id, sizeof id, "job-%06zu", n);
-        j.id = id;
+        auto j = standin::plain(standin::numbered(n), n % 2 == 0 ? 2 : 12, 20,
+                                static_cast<Millis>(n) * 700);
         j.kind = n % 2 == 0 ? "ensemble" : "sweep";
-        j.count = n % 2 == 0 ? 2 : 12;
-        j.run_s = 20;
-        j.submit_at = static_cast<Millis>(n) * 700;
         world.jobs().push_back(j);
     }
     const auto before = world.writes();
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -1323,13 +1323,33 @@
     at(now_ + (both ? 1 : 1500 + static_cast<Millis>(dice(7000))), [this] { fault(); });
 }
 
+Options calm(std::uint64_t seed) {
+    Options options;
+    options.seed = seed;
+    options.jobs = 0;
+    options.faults = false;
+    return options;
+}
+
+std::string numbered(std::size_t n) {
+    char id[32];
+    std::snprintf(id, sizeof id, "job-%06zu", n);
+    return id;
+}
+
+Job plain(const std::string& id, std::uint32_t count, double run_s, Millis submit_at) {
+    Job j;
+    j.id = id;
+    j.count = count;
+    j.run_s = run_s;
+    j.submit_at = submit_at;
+    return j;
+}
+
 Job random_job(std::mt19937_64& rng, std::size_t number, Millis busy_ms) {
     const auto dice = [&](std::uint64_t n) { return rng() % n; };
     Job j;
-    char id[32];
-    std::snprintf(id, sizeof id, "job-%06llu",
-                  static_cast<unsigned long long>((number * 7919 + 13) % 1'000'000));
-    j.id = id;
+    j.id = numbered((number * 7919 + 13) % 1'000'000);
     j.cls = dice(2) == 0 ? "one" : "other";
     j.team = dice(3) == 0 ? "side" : "core";
     j.kind = dice(2) == 0 ? "ensemble" : "sweep";
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -295,6 +295,11 @@
     std::map<std::string, std::size_t> job_index_;
 };
 
+// A day without jobs or faults, for scripted tests.
+Options calm(std::uint64_t seed);
+// "job-000007"
+std::string numbered(std::size_t n);
+Job plain(const std::string& id, std::uint32_t count, double run_s, Millis submit_at = 0);
 // A job with its parts drawn at random.
 Job random_job(std::mt19937_64& rng, std::size_t number, Millis busy_ms);
 
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -7,29 +7,6 @@
 namespace lichendrift::standin {
 namespace {
 
-Options calm(std::uint64_t seed) {
-    Options options;
-    options.seed = seed;
-    options.jobs = 0;
-    options.faults = false;
-    return options;
-}
-
-Job plain(const std::string& id, std::uint32_t count, double run_s, Millis submit_at = 0) {
-    Job j;
-    j.id = id;
-    j.count = count;
-    j.run_s = run_s;
-    j.submit_at = submit_at;
-    return j;
-}
-
-std::string numbered(std::size_t n) {
-    char id[32];
-    std::snprintf(id, sizeof id, "job-%06zu", n);
-    return id;
-}
-
 // Its reports go on, its tasks die with its lease: without judging it by the effect of what it was
 // sent, tasks were placed there again and again, each lost for a lease.
 TEST(Troubles, MachineThatNothingReachesGetsNoMoreWorkAndIsReturned) {
