--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -66,7 +66,6 @@
         idle_since_ = client_.loop_.now();
         idle_at_ = at;
     }
-    [[nodiscard]] Idle::iterator idle_at() const { return *idle_at_; }
     void set_used() { idle_at_.reset(); }
 
   private:
@@ -174,7 +173,8 @@
         shut();
         HttpReply reply;
         reply.sent = wrote_;
-        if (done) done(std::move(reply));
+        // Never from inside call(): a kept connection can fail while the request is handed over.
+        if (done) client_.loop_.after(0, [done, reply] { done(reply); });
     }
 
     HttpClient& client_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -185,6 +185,15 @@
     EXPECT_FALSE(replies[0].sent);
     EXPECT_EQ(replies[1].status, 200);
     EXPECT_EQ(served, 1);
+    // On a kept connection as well, and the caller hears of it after its call.
+    now_ += 500;
+    client.call("127.0.0.1:" + std::to_string(port_), {"POST", "/x", "{}", now_ - 100}, 5000,
+                [&](HttpReply reply) { replies.push_back(std::move(reply)); });
+    EXPECT_EQ(replies.size(), 2U);
+    turn();
+    ASSERT_EQ(replies.size(), 3U);
+    EXPECT_FALSE(replies[2].sent);
+    EXPECT_EQ(served, 1);
 }
 
 // Idle connections to workers used up the limit, and then nobody could be asked any more.
