Count silence anew when a cut of a zone ends; plan rentals only from the first list on

Now silence counts from the end of the cut, a zone counts as cut while less than a third is heard, and a new leader judges zones with its first list; plans made before that list rent nothing.

--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -290,7 +290,11 @@
             c.on_list(machines, now);
             if (answer == cloud::Answer::Ok) c.on_list_complete(names, now);
         });
-        if (answer == cloud::Answer::Ok) self->listed_ = true;
+        if (answer == cloud::Answer::Ok && !self->listed_) {
+            // Plans made before know neither these machines nor which zone is cut off.
+            self->rented_at_ = now;
+            self->listed_ = true;
+        }
         self->sync_machines();
     });
 }
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -127,7 +127,7 @@
     Millis counted_at_ = 0;
     int renting_ = 0;
     Millis rent_pause_ = 0;
-    Millis rented_at_ = -10000;  // the last rental's answer
+    Millis rented_at_ = -10000;  // the last rental's answer, or the first list
     std::uint64_t rentals_ = 0;
     net::Malformed malformed_{"a worker's direct answer"};
     std::size_t calls_open_ = 0;  // direct commands under way
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -288,6 +288,11 @@
     [[nodiscard]] bool in_cut_zone(const Machine& machine) const {
         return machine.zone < zone_cut_.size() && zone_cut_[machine.zone] != 0;
     }
+    // From when on silence counts against it.
+    [[nodiscard]] Millis expected_since(const Machine& machine) const {
+        const bool was_cut = machine.zone < zone_back_.size() && !in_cut_zone(machine);
+        return std::max(machine.first_seen, was_cut ? zone_back_[machine.zone] : Millis{-1});
+    }
 
     ClusterSettings settings_;
     Names& types_;
@@ -314,7 +319,8 @@
     std::vector<Machine> machines_;
     std::unordered_map<std::string, MachineIx> machine_ids_;
     std::vector<Hold> holds_;
-    std::vector<char> zone_cut_;  // nearly all machines of the zone fell silent together
+    std::vector<char> zone_cut_;     // nearly all machines of the zone fell silent together
+    std::vector<Millis> zone_back_;  // when the zone was cut off last; -1: never
     Millis drained_at_ = -1'000'000;
     Millis sure_since_ = -1;  // -1: not sure to lead
     std::vector<MachineIx> free_machines_;
--- a/src/core/machines.cpp
+++ b/src/core/machines.cpp
@@ -9,7 +9,7 @@
 constexpr Millis kTakenMargin = 1500;
 constexpr int kLostLeases = 3;                 // in a row
 constexpr std::uint32_t kLeastOfAZone = 8;     // fewer may well have ended together
-constexpr std::uint32_t kHeardOfACutZone = 5;  // of so many, less than one is heard
+constexpr std::uint32_t kHeardOfACutZone = 3;  // of so many, less than one is heard
 constexpr Millis kCutPatience = 3;             // leases
 
 }  // namespace
@@ -138,6 +138,8 @@
             machine.life = Machine::Life::Returning;
         }
     }
+    // A new leader learns here of machines that it has not heard: nothing is rented beside them.
+    note_cut_zones(now);
 }
 
 void Cluster::on_rented(const std::string& type, const std::string& zone, bool spot,
@@ -193,9 +195,12 @@
         if (up && now - machine.heard_at < settings_.report_ms * 5 / 4 + 1000) ++heard;
     }
     zone_cut_.assign(zones.size(), 0);
+    zone_back_.resize(zones.size(), -1);
     for (std::size_t z = 0; z < zones.size(); ++z) {
         const auto [there, heard] = zones[z];
         zone_cut_[z] = there >= kLeastOfAZone && heard * kHeardOfACutZone < there ? 1 : 0;
+        // The first reports after a cut must not cost those whose report is still to come.
+        if (zone_cut_[z] != 0) zone_back_[z] = now;
     }
 }
 
@@ -244,7 +249,8 @@
         }
         if (machine.life == Machine::Life::Returning) continue;
         if (machine.life == Machine::Life::Up) {
-            const auto silent = now - std::max({machine.heard_at, machine.first_seen, sure_since_});
+            const auto silent =
+                now - std::max({machine.heard_at, expected_since(machine), sure_since_});
             // Many silent at once is a cut of ours rather than their fault.
             const auto bound = in_cut_zone(machine) ? cut_patience : patience;
             if (silent > bound && heard * 2 >= up) {
@@ -306,7 +312,7 @@
             // A record can name a machine that no list shows: it is gone, the return proves it.
             // A new leader finds machines in the list that have been up for long and has not heard
             // them yet: they get its full patience, whatever their age.
-            const auto known = now - machine.first_seen;
+            const auto known = now - expected_since(machine);
             const auto listed_patience = in_cut_zone(machine) ? cut_patience : 2 * patience;
             const auto least = machine.running ? listed_patience : std::min(limit, 2 * patience);
             const auto age = machine.running ? known : now - machine.rented_at;
