Tell siblings of cancellations and renew no lease past one that may be unknown

Cause: a leader that the state service refuses alone goes on renewing leases.

Now a confirmation is told to the siblings before its user is answered, a leader with an old copy asks them each half second, and no lease is renewed past the last moment up to which its own read or all siblings vouch, plus cancel_s less lease_s. A leader without its records halts by name.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -2,6 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <limits>
+#include <utility>
+
 namespace lichendrift::control {
 
 namespace {
@@ -20,6 +23,14 @@
 constexpr Millis kRelayDeadline = 1200;
 constexpr Millis kRelayAgain = 700;
 constexpr std::size_t kMostRelays = 2;
+constexpr int kMostTellings = 4;  // of cancellations under way to one sibling
+constexpr std::size_t kMostToTell = 1000;
+constexpr Millis kTellDeadline = 1500;
+constexpr Millis kAskEvery = 500;  // the siblings for cancellations, while the copy is old
+constexpr Millis kCopyIsOld = 1200;
+constexpr std::size_t kMostCancelled = 2000;  // in one answer
+constexpr Millis kVouchMargin = 1000;
+constexpr Millis kLeastVouched = 3000;
 constexpr double kLeaderShare = 0.5;
 constexpr double kOtherShare = 0.2;
 
@@ -44,6 +55,8 @@
       feed_(port, store_),
       users_(port, settings_, store_, feed_) {
     store_.set_share(other_share(settings_));
+    outboxes_.resize(settings_.siblings.size());
+    feed_.on_cancelled([this](const wire::Cancellation& word) { tell_cancelled(word); });
 }
 
 Controller::~Controller() {
@@ -52,6 +65,11 @@
 
 void Controller::start() {
     log_info("started");
+    if (settings_.lease_s * 1000 + kVouchMargin + kLeastVouched >= settings_.cancel_s * 1000) {
+        log_info(
+            "lease_s leaves no time below cancel_s: cut off for long, a leader may keep work "
+            "that was cancelled elsewhere for longer than cancel_s");
+    }
     feed_.start();
     look();
     fetch_types();
@@ -199,9 +217,12 @@
     leader_ = std::make_shared<Leader>(port_, settings_, store_, cloud_, feed_,
                                        static_cast<LeaderHost&>(*this), token, rev);
     log_info("won the election");
+    siblings_know_at_ = 0;
+    renewals_held_ = false;
     leader_->start(users_.types());
     announce({}, false);
     renew();
+    watch_over_cancellations();
 }
 
 void Controller::renew() {
@@ -439,6 +460,29 @@
                                           0, false, true});
                              });
     }
+    if (request.target == "/peer/cancelled") {
+        auto news = wire::decode_cancellation_news(request.body);
+        if (!news) {
+            malformed_siblings_.note(port_.now());
+            return respond({400, "", 0, false, true});
+        }
+        hear_cancelled(*news);
+        return respond({200, "", 0, false, true});
+    }
+    if (request.target == "/peer/cancellations") {
+        const auto since = wire::decode_cancellation_query(request.body);
+        if (!since) {
+            malformed_siblings_.note(port_.now());
+            return respond({400, "", 0, false, true});
+        }
+        wire::CancellationNews news{feed_.cancellations_from(),
+                                    feed_.cancelled_after(*since, kMostCancelled)};
+        // Cut short, it says nothing of the rest.
+        if (news.cancelled.size() >= kMostCancelled) {
+            news.from = std::numeric_limits<std::uint64_t>::max();
+        }
+        return respond({200, wire::encode_cancellation_news(news), 0, false, true});
+    }
     if (request.target == "/peer/leader") {
         auto word = wire::decode_announcement(request.body);
         if (!word) {
@@ -469,6 +513,86 @@
     }
 }
 
+// ---- cancellations that the leader cannot read ----
+
+// A leader that the state service refuses alone goes on renewing the leases of its workers, while
+// another node tells users that jobs are cancelled. If then the state service is out for all, no
+// other leader can come: so the news goes from node to node as well.
+void Controller::tell_cancelled(const wire::Cancellation& word) {
+    if (!settings_.guards.cancels_told) return;
+    for (std::size_t i = 0; i < outboxes_.size(); ++i) {
+        // What finds no room is told when it is asked for.
+        if (outboxes_[i].waiting.size() < kMostToTell) outboxes_[i].waiting.push_back(word);
+        send_cancelled(i);
+    }
+}
+
+void Controller::send_cancelled(std::size_t sibling) {
+    auto& box = outboxes_[sibling];
+    if (box.waiting.empty() || box.under_way >= kMostTellings) return;
+    ++box.under_way;
+    port_.call(settings_.siblings[sibling].address,
+               {"POST", "/peer/cancelled",
+                wire::encode_cancellation_news({0, std::exchange(box.waiting, {})})},
+               kTellDeadline, [this, sibling](const net::HttpReply&) {
+                   --outboxes_[sibling].under_way;
+                   send_cancelled(sibling);
+               });
+}
+
+void Controller::hear_cancelled(const wire::CancellationNews& news) {
+    for (const auto& word : news.cancelled) {
+        if (wire::valid_job_id(word.id)) feed_.heard_cancelled(word);
+    }
+}
+
+void Controller::watch_over_cancellations() {
+    const auto number = election_;
+    port_.after(kAskEvery, [this, number] {
+        if (number != election_ || !leader_) return;
+        watch_over_cancellations();
+        if (port_.read_clock() - feed_.read_at() > kCopyIsOld) ask_for_cancellations();
+    });
+}
+
+void Controller::ask_for_cancellations() {
+    if (!settings_.guards.cancels_told) return;
+    // What a sibling tells later than now has cancel_s from then on; so once all have answered,
+    // everything told before now is known. One that has forgotten, or is not there, covers nothing.
+    const auto sent = port_.read_clock();
+    const auto since = feed_.revision();
+    auto left = std::make_shared<std::size_t>(settings_.siblings.size());
+    if (settings_.siblings.empty()) siblings_know_at_ = sent;
+    for (const auto& s : settings_.siblings) {
+        port_.call(s.address,
+                   {"POST", "/peer/cancellations", wire::encode_cancellation_query(since)},
+                   kTellDeadline, [this, sent, since, left](const net::HttpReply& reply) {
+                       if (reply.status != 200) return;
+                       const auto news = wire::decode_cancellation_news(reply.body);
+                       if (!news) return malformed_siblings_.note(port_.now());
+                       hear_cancelled(*news);
+                       if (news->from > since || --*left > 0) return;
+                       siblings_know_at_ = std::max(siblings_know_at_, sent);
+                   });
+    }
+}
+
+// The last word on cancellations that needs no message: a lease that is renewed now ends lease_s
+// from now at the latest, and that must be within cancel_s of any confirmation not known here.
+bool Controller::may_renew_leases() {
+    if (!settings_.guards.cancels_known) return true;
+    const auto known = std::max(feed_.read_at(), siblings_know_at_);
+    const auto spare = static_cast<Millis>((settings_.cancel_s - settings_.lease_s) * 1000);
+    const auto bound = std::max(spare - kVouchMargin, kLeastVouched);
+    const bool may = port_.read_clock() - known <= bound;
+    if (may == renewals_held_) {
+        renewals_held_ = !may;
+        log_info(may ? "leases are renewed again"
+                     : "no lease is renewed: jobs may have been cancelled that are not known here");
+    }
+    return may;
+}
+
 void Controller::counts_found(std::vector<wire::JobCounts> counts, bool all) {
     users_.set_counts(counts, all);
     announce(counts, all);
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -51,6 +51,7 @@
     // LeaderHost.
     bool may_start() override;
     Millis sure_until() override { return valid_until_; }
+    bool may_renew_leases() override;
     void step_down(const std::string& reason) override;
     void log_info(const std::string& text) override;
     void log_debug(const std::string& text) override;
@@ -69,6 +70,12 @@
     void pass_relayed(const core::Report& report, const net::Respond& respond);
     void fetch_types();
     void announce(const std::vector<wire::JobCounts>& counts, bool all);
+    // Cancellations that the state service does not tell this node of.
+    void tell_cancelled(const wire::Cancellation& word);
+    void send_cancelled(std::size_t sibling);
+    void watch_over_cancellations();
+    void ask_for_cancellations();
+    void hear_cancelled(const wire::CancellationNews& news);
     [[nodiscard]] const Sibling* sibling(const std::string& member) const;
     [[nodiscard]] std::string prefix() const;
 
@@ -92,6 +99,13 @@
     Millis relay_failed_at_ = -100000;
     std::size_t relay_at_ = 0;  // the sibling that worked last
     int passing_ = 0;
+    struct Outbox {  // of cancellations, for one sibling
+        std::vector<wire::Cancellation> waiting;
+        int under_way = 0;
+    };
+    std::vector<Outbox> outboxes_;
+    Millis siblings_know_at_ = 0;  // up to when all siblings together vouch for cancellations
+    bool renewals_held_ = false;
     net::Malformed malformed_workers_{"a worker"};
     net::Malformed malformed_siblings_{"a sibling"};
     bool asking_types_ = false;
--- a/src/control/feed.cpp
+++ b/src/control/feed.cpp
@@ -9,6 +9,7 @@
 constexpr std::string_view kOpen = "open/";
 constexpr std::string_view kOver = "over/";
 constexpr std::size_t kMostFinals = 20'000;
+constexpr std::size_t kMostCancellations = 4000;
 constexpr std::size_t kMostWaiting = 500;
 constexpr Millis kAskSpacing = 120;  // polls that come closer share one read
 
@@ -34,6 +35,7 @@
 void Feed::load(const std::string& since, std::map<std::string, Open> so_far,
                 std::uint64_t revision) {
     loading_ = true;
+    if (revision == 0) load_sent_ = port_.now();
     store_.list(store::Lane::Place, std::string(kOpen), since,
                 [this, so_far = std::move(so_far), revision](store::Outcome outcome,
                                                              const wire::ItemPage& page) mutable {
@@ -64,6 +66,9 @@
     const auto before = std::move(open_);
     open_ = std::move(jobs);
     revision_ = revision;
+    read_at_ = std::max(read_at_, load_sent_);
+    // What was told before this read, by an earlier run of this node too, is in it.
+    cancellations_from_ = revision;
     loaded_ = true;
     ever_loaded_ = true;
     loading_ = false;
@@ -88,9 +93,16 @@
     return it->second;
 }
 
-void Feed::remember_final(const std::string& id, bool aborted) {
+void Feed::remember_final(const std::string& id, bool aborted, std::uint64_t rev) {
     if (!finals_.emplace(id, aborted).second) return;
     final_order_.push_back(id);
+    if (aborted) {
+        cancellations_.push_back({rev, id});
+        if (cancellations_.size() > kMostCancellations) {
+            cancellations_from_ = std::max(cancellations_from_, cancellations_.front().rev);
+            cancellations_.pop_front();
+        }
+    }
     if (final_order_.size() > kMostFinals) {
         finals_.erase(final_order_.front());
         final_order_.pop_front();
@@ -104,10 +116,28 @@
     if (listener_) listener_->on_open(text, rev);
 }
 
-void Feed::wrote_final(const std::string& id, bool aborted) {
-    remember_final(id, aborted);
+void Feed::wrote_final(const std::string& id, bool aborted, std::uint64_t rev) {
+    remember_final(id, aborted, rev);
     open_.erase(id);
     if (listener_) listener_->on_over(id, aborted);
+    if (aborted && tell_cancelled_) tell_cancelled_({rev, id});
+}
+
+Feed::Cancellations Feed::cancelled_after(std::uint64_t rev, std::size_t most) const {
+    Cancellations out;
+    for (auto it = cancellations_.rbegin(); it != cancellations_.rend() && out.size() < most;
+         ++it) {
+        if (it->rev > rev) out.push_back(*it);
+    }
+    return out;
+}
+
+void Feed::heard_cancelled(const wire::Cancellation& word) {
+    // A final word never changes, so it can be believed whoever passes it on.
+    if (finals_.contains(word.id)) return;
+    remember_final(word.id, true, word.rev);
+    open_.erase(word.id);
+    if (listener_) listener_->on_over(word.id, true);
 }
 
 void Feed::apply(const wire::ItemPage& page) {
@@ -128,7 +158,7 @@
         } else if (item.key.starts_with(kOver) && !item.value.empty()) {
             const auto id = item.key.substr(kOver.size());
             if (auto over = wire::parse_over_value(id, item.value)) {
-                remember_final(id, over->aborted);
+                remember_final(id, over->aborted, item.rev);
                 open_.erase(id);
                 if (listener_) listener_->on_over(id, over->aborted);
             }
@@ -168,12 +198,14 @@
     asked_at_ = port_.now();
     auto waiting = std::move(waiting_);
     waiting_.clear();
+    const auto sent = asked_at_;
     store_.watch(store::Lane::Read, "o", revision_, 0,
-                 [this, waiting = std::move(waiting)](store::Outcome outcome,
-                                                      const wire::ItemPage& page) mutable {
+                 [this, sent, waiting = std::move(waiting)](store::Outcome outcome,
+                                                            const wire::ItemPage& page) mutable {
                      asking_ = false;
                      if (outcome == store::Outcome::Ok) {
                          apply(page);
+                         read_at_ = std::max(read_at_, sent);
                      } else if (outcome == store::Outcome::Missing && !loading_) {
                          loaded_ = false;
                          load("", {}, 0);
@@ -198,7 +230,7 @@
                    if (outcome == store::Outcome::Ok) {
                        if (auto over = wire::parse_over_value(id, item.value)) {
                            word = over->aborted;
-                           remember_final(id, over->aborted);
+                           remember_final(id, over->aborted, item.rev);
                        } else {
                            outcome = store::Outcome::Unknown;
                        }
@@ -221,12 +253,14 @@
 
 void Feed::long_watch() {
     const auto number = follow_number_;
+    const auto sent = port_.now();
     store_.watch(store::Lane::Place, "o", revision_, 8000,
-                 [this, number](store::Outcome outcome, const wire::ItemPage& page) {
+                 [this, number, sent](store::Outcome outcome, const wire::ItemPage& page) {
                      if (number != follow_number_) return;
                      Millis pause = 60;
                      if (outcome == store::Outcome::Ok) {
                          apply(page);
+                         read_at_ = std::max(read_at_, sent);
                      } else {
                          pause = 400;
                          if (outcome == store::Outcome::Missing && !loading_) {
--- a/src/control/feed.h
+++ b/src/control/feed.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 
 #include "net/port.h"
 #include "store/store_client.h"
+#include "wire/cbor_messages.h"
 
 namespace lichendrift::control {
 
@@ -41,7 +43,21 @@
 
     // What this node wrote itself, known before the watch tells.
     void wrote_open(const core::JobText& text, std::uint64_t rev);
-    void wrote_final(const std::string& id, bool aborted);
+    void wrote_final(const std::string& id, bool aborted, std::uint64_t rev);
+
+    // The cancellations that this node has learned of, so that one that can't read the state
+    // service learns of them from its siblings.
+    using Cancellations = std::vector<wire::Cancellation>;
+    [[nodiscard]] Cancellations cancelled_after(std::uint64_t rev, std::size_t most) const;
+    // No cancellation of a later revision that any run of this node may have told is missing above.
+    [[nodiscard]] std::uint64_t cancellations_from() const { return cancellations_from_; }
+    void heard_cancelled(const wire::Cancellation& word);
+    void on_cancelled(std::function<void(const wire::Cancellation&)> tell) {
+        tell_cancelled_ = std::move(tell);
+    }
+    [[nodiscard]] std::uint64_t revision() const { return revision_; }
+    // When the newest read was sent that brought this copy up to its moment; 0: none yet.
+    [[nodiscard]] Millis read_at() const { return read_at_; }
 
     // Reads the final word of a job that is not open from the state service.
     void lookup_final(const std::string& id,
@@ -60,7 +76,7 @@
     static void answer(const std::vector<std::function<void(bool)>>& waiting, bool ok);
     void long_watch();
     void keep_up();
-    void remember_final(const std::string& id, bool aborted);
+    void remember_final(const std::string& id, bool aborted, std::uint64_t rev);
 
     net::Port& port_;
     store::StoreClient& store_;
@@ -71,6 +87,11 @@
     std::map<std::string, Open> open_;
     std::unordered_map<std::string, bool> finals_;
     std::deque<std::string> final_order_;
+    std::deque<wire::Cancellation> cancellations_;  // as they were learned of
+    std::uint64_t cancellations_from_ = std::numeric_limits<std::uint64_t>::max();
+    std::function<void(const wire::Cancellation&)> tell_cancelled_;
+    Millis read_at_ = 0;
+    Millis load_sent_ = 0;
     std::vector<std::function<void(bool)>> waiting_;
     bool asking_ = false;
     bool ask_timer_ = false;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -80,6 +80,7 @@
             });
             return;
         }
+        self->jobs_read_ = true;
         const auto now = self->port_.now();
         self->with([&](core::Cluster& c) {
             for (const auto& [id, job] : self->feed_.all_open()) {
@@ -321,8 +322,7 @@
         host_.step_down("a worker has seen token " + std::to_string(report.token));
         return std::nullopt;
     }
-    // Before the records are read nothing may be concluded; the answer raises the token.
-    if (!ready_) return wire::BeatAnswer{token_, {}};
+    if (!ready_) return beat_before_ready(report);
     const auto now = port_.now();
     const bool may_start = host_.may_start();
     core::BeatOutcome outcome;
@@ -336,6 +336,24 @@
         answer.token = c.token_for(report.machine);
     });
     if (outcome.changed) changed();
+    // A lease that nobody can vouch for ends: work on that machine may have been called off.
+    if (!host_.may_renew_leases()) return std::nullopt;
+    return answer;
+}
+
+// Before the records are read nothing may be concluded; the answer raises the token. Yet a state
+// service that goes out now would keep this leader from reading them, and it would renew leases
+// under work that was called off: what is known to be over is stopped by name.
+std::optional<wire::BeatAnswer> Leader::beat_before_ready(const core::Report& report) const {
+    if (!host_.may_renew_leases()) return std::nullopt;
+    wire::BeatAnswer answer{token_, {}};
+    if (!settings_.guards.cancels_known) return answer;
+    for (const auto& task : report.tasks) {
+        if (task.phase == core::TaskPhase::Exited || feed_.open(task.job) != nullptr) continue;
+        // Read since this lead began, the copy holds every job that an earlier one started.
+        if (!jobs_read_ && !feed_.final_word(task.job)) return std::nullopt;
+        answer.orders.push_back({core::Order::Kind::Halt, task.job, task.task, task.attempt, 0});
+    }
     return answer;
 }
 
@@ -450,7 +468,7 @@
                        });
                        if (ok) {
                            self->host_.log_info("job " + write.job_id + " done");
-                           self->feed_.wrote_final(write.job_id, false);
+                           self->feed_.wrote_final(write.job_id, false, result.revision);
                        }
                        self->write();
                    });
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -20,6 +20,8 @@
     virtual ~LeaderHost() = default;
     virtual bool may_start() = 0;     // surely still the leader by its own clock, read anew
     virtual Millis sure_until() = 0;  // and for how long
+    // Whether every cancellation that was confirmed long enough ago is surely known here.
+    virtual bool may_renew_leases() = 0;
     virtual void step_down(const std::string& reason) = 0;
     virtual void log_info(const std::string& text) = 0;
     virtual void log_debug(const std::string& text) = 0;
@@ -37,7 +39,7 @@
 
     void start(const std::vector<core::MachineType>& known_types);
     void stop();
-    // Empty: a higher token was seen and this leader must step down.
+    // Empty: a higher token was seen and this leader must step down, or it must not renew leases.
     std::optional<wire::BeatAnswer> beat(const core::Report& report);
     [[nodiscard]] std::uint64_t token() const { return token_; }
     [[nodiscard]] bool ready() const { return ready_; }
@@ -89,6 +91,8 @@
         return {"leader", leader_rev_};
     }
     bool lost(const store::TxnResult& result);
+    [[nodiscard]] std::optional<wire::BeatAnswer> beat_before_ready(
+        const core::Report& report) const;
     [[nodiscard]] Millis age_of(const core::JobText& job) {
         return port_.wall_ms() - job.submitted_ms;
     }
@@ -103,6 +107,7 @@
     std::uint64_t leader_rev_;
     std::shared_ptr<Shared> shared_ = std::make_shared<Shared>();
     bool stopped_ = false;
+    bool jobs_read_ = false;  // what was open when this lead had begun
     bool ready_ = false;
     Millis ready_at_ = 0;
     Millis hints_at_ = 0;
--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -240,7 +240,7 @@
                    [this, id, tries,
                     respond = std::move(respond)](const store::TxnResult& result) mutable {
                        if (result.outcome == store::Outcome::Ok) {
-                           feed_.wrote_final(id, true);
+                           feed_.wrote_final(id, true, result.revision);
                            return respond({200, wire::job_answer(id, "aborted")});
                        }
                        if (result.outcome == store::Outcome::Conflict && tries > 0) {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -160,6 +160,8 @@
     bool claims = true;               // what waited too long goes first and claims room
     bool judged_by_effect = true;     // a machine that nothing reaches gets no work
     bool reap_raises = true;          // copies of a run can't act once its attempt is forgotten
+    bool cancels_told = true;         // siblings tell each other of cancellations
+    bool cancels_known = true;        // no lease is renewed past a cancellation that may be unknown
 };
 
 // What a worker says of its machine, in a beat or in the answer to a direct command.
--- a/src/wire/cbor_messages.cpp
+++ b/src/wire/cbor_messages.cpp
@@ -195,6 +195,52 @@
     return answer;
 }
 
+std::string encode_cancellation_query(std::uint64_t since) {
+    Encoder e;
+    e.array(1);
+    e.uint(since);
+    return e.take();
+}
+
+std::optional<std::uint64_t> decode_cancellation_query(std::string_view bytes) {
+    const auto item = load(bytes);
+    Entries in(item.get());
+    const auto since = in.uint();
+    if (!in.good()) return std::nullopt;
+    return since;
+}
+
+std::string encode_cancellation_news(const CancellationNews& news) {
+    Encoder e;
+    e.array(2);
+    e.uint(news.from);
+    e.array(news.cancelled.size());
+    for (const auto& word : news.cancelled) {
+        e.array(2);
+        e.uint(word.rev);
+        e.text(word.id);
+    }
+    return e.take();
+}
+
+std::optional<CancellationNews> decode_cancellation_news(std::string_view bytes) {
+    const auto item = load(bytes);
+    Entries in(item.get());
+    CancellationNews news;
+    news.from = in.uint();
+    Entries words(in.next());
+    while (words.left() > 0) {
+        Entries w(words.next());
+        Cancellation word;
+        word.rev = w.uint();
+        word.id = w.text();
+        if (!w.good()) return std::nullopt;
+        news.cancelled.push_back(std::move(word));
+    }
+    if (!in.good() || !words.good()) return std::nullopt;
+    return news;
+}
+
 std::string encode_report(const core::Report& r) {
     Encoder e;
     e.array(10);
--- a/src/wire/cbor_messages.h
+++ b/src/wire/cbor_messages.h
@@ -30,6 +30,20 @@
     std::vector<JobCounts> counts;
 };
 
+// A job whose user was told, or may be told, that it is cancelled.
+struct Cancellation {
+    std::uint64_t rev = 0;  // of its final word
+    std::string id;
+};
+
+// What a node knows of cancellations: the answer to a question since a revision, and the news of
+// one that was just confirmed.
+struct CancellationNews {
+    // No cancellation of a later revision, that this node may ever have told, is missing.
+    std::uint64_t from = 0;
+    std::vector<Cancellation> cancelled;
+};
+
 // A user's request that a node passes on because the state service refuses it alone.
 struct PassedRequest {
     std::string method;
@@ -46,6 +60,10 @@
 std::optional<PassedRequest> decode_passed_request(std::string_view bytes);
 std::string encode_passed_answer(const PassedAnswer& answer);
 std::optional<PassedAnswer> decode_passed_answer(std::string_view bytes);
+std::string encode_cancellation_query(std::uint64_t since);
+std::optional<std::uint64_t> decode_cancellation_query(std::string_view bytes);
+std::string encode_cancellation_news(const CancellationNews& news);
+std::optional<CancellationNews> decode_cancellation_news(std::string_view bytes);
 std::string encode_report(const core::Report& report);
 std::optional<core::Report> decode_report(std::string_view bytes);
 std::string encode_beat_answer(const BeatAnswer& answer);
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -97,6 +97,7 @@
     auto options = calm(27);
     options.report_s = 5;
     options.lease_s = 29;
+    options.cancel_s = 59;
     options.machines = 12;
     options.teams = {{"core", {}, {}}};
     World world(options);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -71,6 +71,23 @@
     EXPECT_FALSE(parse_place_value("{}"));
 }
 
+TEST(Cbor, CancellationsAndQuestionsAboutThem) {
+    const auto bytes = encode_cancellation_news({17, {{18, "job-000001"}, {19, "job-000002"}}});
+    const auto news = decode_cancellation_news(bytes);
+    ASSERT_TRUE(news);
+    EXPECT_EQ(news->from, 17U);
+    ASSERT_EQ(news->cancelled.size(), 2U);
+    EXPECT_EQ(news->cancelled[1].rev, 19U);
+    EXPECT_EQ(news->cancelled[1].id, "job-000002");
+    EXPECT_EQ(decode_cancellation_query(encode_cancellation_query(7)), 7U);
+    // Cut short or of another kind, it says nothing.
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        EXPECT_FALSE(decode_cancellation_news(std::string_view(bytes).substr(0, n))) << n;
+    }
+    EXPECT_FALSE(decode_cancellation_query(bytes.substr(1)));
+    EXPECT_FALSE(decode_cancellation_news(encode_cancellation_query(7)));
+}
+
 TEST(Json, JobsSurviveTheStore) {
     core::JobText job;
     job.id = "job-000001";
