--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -2,6 +2,8 @@
 // in docs/design.md, "When troubles meet".
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "core/cluster.h"
 #include "standin/world.h"
 
@@ -248,6 +250,252 @@
     }
 }
 
+// ---- the meetings that the operators name, in their order ----
+
+struct Meeting {
+    const char* name;
+    std::function<void(Options&)> set;
+    std::function<void(World&, std::size_t nodes)> bring;
+};
+
+void crash_all(World& world, std::size_t nodes, Millis back) {
+    for (std::size_t n = 0; n < nodes; ++n) world.crash(n, back);
+}
+
+void crash_leader(World& world, Millis back) {
+    if (const auto l = world.leader()) world.crash(*l, back);
+}
+
+// Some of the machines that are up: every so many.
+std::vector<Worker*> some(World& world, std::size_t every) {
+    std::vector<Worker*> out;
+    std::size_t k = 0;
+    for (auto& [name, w] : world.workers()) {
+        if (w.up && !w.gone && k++ % every == 0) out.push_back(&w);
+    }
+    return out;
+}
+
+const std::vector<Meeting>& meetings() {
+    static const std::vector<Meeting> all{
+        {"ZoneBoundJobsLoseMachines",
+         {},
+         [](World& w, std::size_t) {
+             for (Millis t = 9000; t < 50'000; t += 7000) {
+                 w.at(t, [&w] {
+                     if (auto lost = some(w, 3); !lost.empty()) w.lose_worker(*lost.back());
+                 });
+             }
+         }},
+        {"ReportsHeldUntilANewLeaderHasActed",
+         {},
+         [](World& w, std::size_t nodes) {
+             for (Millis t = 12'000; t < 60'000; t += 15'000) {
+                 w.at(t, [&w, nodes] {
+                     const auto l = w.leader().value_or(0);
+                     // To every other node, so that whichever wins gets them late.
+                     for (auto* m : some(w, 2)) {
+                         for (std::size_t n = 0; n < nodes; ++n) {
+                             if (n != l) w.cut(m->name, "n" + std::to_string(n), 9000, true);
+                         }
+                     }
+                     w.at(w.now() + 1500, [&w] { crash_leader(w, 3000); });
+                 });
+             }
+         }},
+        {"TasksEndFarApartAcrossLeaders",
+         {},
+         [](World& w, std::size_t) {
+             for (Millis t = 8000; t < 70'000; t += 6500) {
+                 w.at(t, [&w, t] { crash_leader(w, t % 2 == 0 ? 200 : 3000); });
+             }
+         }},
+        {"LateTransactions",
+         {},
+         [](World& w, std::size_t) {
+             w.at(5000, [&w] { w.late_writes(0.35, 50'000); });
+             for (Millis t = 12'000; t < 60'000; t += 9000) {
+                 w.at(t, [&w, t] { crash_leader(w, t % 2 == 0 ? 150 : 3000); });
+             }
+         }},
+        {"AllAwayForLongerThanALease",
+         {},
+         [](World& w, std::size_t nodes) {
+             w.at(15'000, [&w, nodes] { crash_all(w, nodes, 14'000); });
+             w.at(50'000, [&w, nodes] { crash_all(w, nodes, 9000); });
+         }},
+        {"MoreWorkThanRoomOverSlowLinks", [](Options& o) { o.machines = 2; },
+         [](World& w, std::size_t) {
+             w.set_capacity(4);
+             w.at(5000, [&w] { w.slow_links(500, 50'000); });
+         }},
+        {"MuteMachines",
+         {},
+         [](World& w, std::size_t) {
+             for (Millis t = 10'000; t < 60'000; t += 16'000) {
+                 w.at(t, [&w, t] {
+                     for (auto* m : some(w, t == 10'000 ? 1 : 2)) w.mute(*m, 14'000);
+                 });
+             }
+         }},
+        {"LeaderEndsWhileMachinesAreNotReached",
+         {},
+         [](World& w, std::size_t) {
+             for (Millis t = 11'000; t < 60'000; t += 17'000) {
+                 w.at(t, [&w, t] {
+                     bool deaf = t % 2 == 0;
+                     for (auto* m : some(w, 2)) {
+                         if (deaf) w.deafen(*m, 12'000, t % 3 == 0);
+                         if (!deaf) w.cut(m->name, "n", 12'000, t % 3 == 0);
+                         deaf = !deaf;
+                     }
+                     crash_leader(w, 4000);
+                 });
+             }
+         }},
+        {"LeaderKeepsOnlyWorkersAndUsersWhileJobsAreCancelled",
+         {},
+         [](World& w, std::size_t) {
+             for (Millis t = 12'000; t < 60'000; t += 24'000) {
+                 w.at(t, [&w, t] {
+                     if (const auto l = w.leader()) w.isolate(*l, 20'000, t == 12'000);
+                 });
+                 for (Millis c = 500; c < 20'000; c += 2500) {
+                     w.at(t + c, [&w] { w.cancel_now(1, 0); });
+                 }
+             }
+         }},
+        {"ZoneWithAControllerCutOff",
+         {},
+         [](World& w, std::size_t) {
+             w.at(10'000, [&w] { w.cut_zone("a", "", 14'000, true); });
+             w.at(12'000, [&w] { w.cancel_now(2, 0); });
+             w.at(40'000, [&w] { w.cut_zone("b", "", 14'000, false); });
+             w.at(42'000, [&w] { w.cancel_now(2, 0); });
+         }},
+        {"TeamAtItsLimitWhenTheLeaderChanges",
+         [](Options& o) {
+             o.teams = {{"core", {4000, 0, 0}, {12'000, 0, 0}}, {"side", {}, {6000, 0, 0}}};
+         },
+         [](World& w, std::size_t) {
+             for (Millis t = 10'000; t < 60'000; t += 15'000) {
+                 w.at(t, [&w] {
+                     for (auto* m : some(w, 2)) w.cut(m->name, "n", 9000, false);
+                     crash_leader(w, 3000);
+                 });
+                 // Also between the reads of the take-over.
+                 for (Millis c = 100; c < 5000; c += 350) {
+                     w.at(t + c, [&w, c] {
+                         if (c % 700 == 100) w.cancel_now(1, 0);
+                     });
+                 }
+             }
+         }},
+        {"TenLeadersInTwoMinutesAndAnOutage", [](Options& o) { o.busy_ms = 130'000; },
+         [](World& w, std::size_t) {
+             for (Millis t = 8000; t < 128'000; t += 12'000) {
+                 w.at(t, [&w, t] { crash_leader(w, t % 3 == 0 ? 300 : 3000); });
+             }
+             w.at(60'000, [&w] { w.state_outage(28'000); });
+         }},
+        {"SlowThenRefusedThenOutWhileUsersCancel",
+         {},
+         [](World& w, std::size_t) {
+             w.at(8000, [&w] { w.slow_state(600, 20'000); });
+             w.at(20'000, [&w] {
+                 if (const auto l = w.leader()) w.refuse_node(*l, 40'000);
+             });
+             for (Millis t = 9000; t < 26'000; t += 600) {
+                 w.at(t, [&w, t] {
+                     if (t % 1800 == 0) w.cancel_now(1, 0);
+                     w.odd_request();
+                 });
+             }
+             w.at(21'700, [&w] { w.state_outage(32'000); });
+         }},
+        {"HandedOverAndBackAllEndAndOneReturns",
+         {},
+         [](World& w, std::size_t nodes) {
+             for (Millis t = 9000; t < 20'000; t += 1700) {
+                 w.at(t, [&w] { crash_leader(w, 120); });
+             }
+             w.at(25'000, [&w, nodes] {
+                 for (std::size_t n = 0; n < nodes; ++n) w.crash(n, n == 1 ? 400 : 20'000);
+             });
+             w.at(50'000, [&w, nodes] {
+                 for (std::size_t n = 0; n < nodes; ++n) w.crash(n, n == 0 ? 100 : 900);
+             });
+         }},
+        {"CommandsAndAnswersHeldUp",
+         {},
+         [](World& w, std::size_t) {
+             for (Millis t = 8000; t < 60'000; t += 6000) {
+                 w.at(t, [&w, t] {
+                     for (auto* m : some(w, 2)) {
+                         if (t % 4000 == 0) w.deafen(*m, 5000, true);
+                         if (t % 4000 != 0 && m->hung_until + 9000 < w.now()) {
+                             m->hung_until = w.now() + 5000;
+                         }
+                     }
+                     if (t % 18'000 == 8000) crash_leader(w, 2000);
+                     w.cancel_now(1, 0);
+                 });
+             }
+         }},
+        {"OldReportsAfterNewerOnes",
+         [](Options& o) {
+             o.lossy = true;
+             o.late_copy = 0.3;
+         },
+         [](World& w, std::size_t) {
+             w.at(20'000, [&w] {
+                 for (auto* m : some(w, 2)) w.mute(*m, 12'000);
+             });
+             w.at(40'000, [&w] { crash_leader(w, 3000); });
+         }},
+        {"CancelMeetsTheLastTask",
+         {},
+         [](World& w, std::size_t) {
+             for (auto& j : w.jobs()) j.cancel_at_end = true;
+             for (Millis t = 5000; t < 70'000; t += 250) w.at(t, [&w] { w.odd_request(); });
+         }},
+    };
+    return all;
+}
+
+class NamedMeeting : public ::testing::TestWithParam<std::size_t> {};
+
+TEST_P(NamedMeeting, KeepsTheRules) {
+    const auto& meeting = meetings()[GetParam()];
+    for (std::uint64_t seed = 0; seed < 10; ++seed) {
+        auto options = calm(1000 + seed);
+        options.nodes = seed % 2 == 0 ? 3 : 5;
+        options.machines = 5;
+        if (meeting.set) meeting.set(options);
+        World world(options);
+        std::mt19937_64 rng(seed);
+        for (std::size_t n = 0; n < 16; ++n) {
+            auto j = random_job(rng, n, options.busy_ms - 15'000);
+            // Zone-bound and apart ones, and two or three tasks that end far apart.
+            if (n % 4 == 1) j.zone = n % 8 == 1 ? "a" : "b";
+            if (j.zone) j.apart = false;
+            if (n % 4 == 2) {
+                j.kind = "sweep";
+                j.count = 2 + static_cast<std::uint32_t>(n % 3 == 0);
+                j.run_s = 25;
+            }
+            if (n % 5 == 0) j.run_s = 40;
+            world.jobs().push_back(j);
+        }
+        meeting.bring(world, options.nodes);
+        EXPECT_EQ(world.run(), "") << meeting.name << " of " << options.nodes;
+        EXPECT_GT(world.total_starts(), 10U);
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Operators, NamedMeeting,
+                         ::testing::Range(std::size_t{0}, meetings().size()),
+                         [](const auto& param) { return meetings()[param.param].name; });
+
 // The bound must not cost work where siblings can vouch that nothing was cancelled.
 TEST(Meetings, OutageLongerThanCancelsCostsNoTaskWhileSiblingsAnswer) {
     for (const std::size_t nodes : {3, 5}) {
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -291,6 +291,9 @@
         }
         return;
     }
+    if (now_ < links_until_) {
+        extra += links_by_ / 2 + static_cast<Millis>(dice(static_cast<std::uint64_t>(links_by_)));
+    }
     at(now_ + 1 + static_cast<Millis>(dice(4)) + extra, std::move(deliver));
 }
 
@@ -315,10 +318,10 @@
         return;
     }
     Millis extra = 0;
-    if (options_.faults && chance(options_.late_request) && now_ < options_.busy_ms) {
+    if (lossy() && chance(options_.late_request)) {
         extra = 1000 + static_cast<Millis>(dice(20000));
     }
-    if (options_.faults && chance(options_.repeats) && now_ < options_.busy_ms) {
+    if (lossy() && chance(options_.repeats)) {
         repeat(from, to, request, 1000 + static_cast<Millis>(dice(90'000)));
     }
     if (keep_direct_ && request.target == "/do") direct_kept_.emplace_back(to, request);
@@ -328,8 +331,7 @@
         [this, from, to, host, finish, reset, sent = now_, request = std::move(request)] {
             serve(host_of(from), to, request, sent,
                   [this, from, host, finish, reset](net::HttpResponse response) {
-                      if (options_.faults && now_ < options_.busy_ms &&
-                          chance(options_.lost_answer)) {
+                      if (lossy() && chance(options_.lost_answer)) {
                           return;
                       }
                       carry(
@@ -845,7 +847,7 @@
     const auto sent = now_;
     const auto session = worker.session;
     const auto body = report(worker);
-    if (options_.faults && now_ < options_.busy_ms && chance(options_.late_copy)) {
+    if (lossy() && chance(options_.late_copy)) {
         const auto late =
             1000 + static_cast<Millis>(dice(static_cast<std::uint64_t>(
                        chance(0.5) ? options_.lease_s * 1000 : options_.lease_s * 6000)));
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -109,6 +109,7 @@
     Millis busy_ms = 70'000;     // jobs and faults arrive
     Millis settle_ms = 260'000;  // everything heals and has to end
     bool faults = true;
+    bool lossy = false;  // messages are lost, late and repeated on a day without other faults too
     double lost_answer = 0.004;
     double late_request = 0.002;
     double late_copy = 0.01;  // of a report, by seconds up to several leases
@@ -192,6 +193,12 @@
     }
     // The state service forgets older changes, as after ten thousand newer ones.
     void forget_changes() { forgotten_ = revision_; }
+    // Messages of everybody take so much longer.
+    void slow_links(Millis by, Millis for_ms) {
+        links_by_ = by;
+        links_until_ = now_ + for_ms;
+        trouble_until(links_until_);
+    }
     void set_boot(Millis ms) { boot_ms_ = ms; }
     void set_capacity(int most) { capacity_ = most; }
     // By a node of the load balancer's choice, or by the one named first.
@@ -275,6 +282,9 @@
     void expect(std::size_t node, net::HttpRequest request, int status, const std::string& state);
     void fail(const std::string& rule, const std::string& what);
     Job* job(const std::string& id);
+    [[nodiscard]] bool lossy() const {
+        return (options_.faults || options_.lossy) && now_ < options_.busy_ms;
+    }
     std::uint64_t dice(std::uint64_t n) { return rng_() % n; }
     bool chance(double p) { return static_cast<double>(rng_() % 1'000'000) < p * 1e6; }
 
@@ -317,6 +327,8 @@
     std::uint64_t forgotten_ = 0;
     double late_writes_ = 0;
     Millis late_writes_until_ = 0;
+    Millis links_by_ = 0;
+    Millis links_until_ = 0;
     Millis slow_by_ = 0;
     Millis slow_until_ = 0;
     // Cloud and workers.
