--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -489,6 +489,7 @@
 
 void World::serve_state(const std::string& from, const net::HttpRequest& request,
                         net::Respond respond) {
+    ++state_requests_;
     if (now_ < outage_until_ ||
         (from.size() == 2 && refused_until_[static_cast<std::size_t>(from[1] - '0')] > now_)) {
         return respond({503, "{}"});
@@ -612,7 +613,7 @@
     w.up_at = now_ == 0 ? 0
                         : now_ + boot_ms_ / 2 +
                               static_cast<Millis>(dice(static_cast<std::uint64_t>(boot_ms_)));
-    w.never = now_ > 0 && chance(0.04);
+    w.never = now_ > 0 && chance(never_);
     w.sick = options_.faults && chance(0.06);
     w.node = dice(nodes_.size());
     workers_[w.name] = w;
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -200,6 +200,10 @@
         trouble_until(links_until_);
     }
     void set_boot(Millis ms) { boot_ms_ = ms; }
+    // That share of the machines rented from now on never comes up.
+    void set_never(double share) { never_ = share; }
+    // Requests to the state service so far.
+    [[nodiscard]] std::size_t state_requests() const { return state_requests_; }
     void set_capacity(int most) { capacity_ = most; }
     // By a node of the load balancer's choice, or by the one named first.
     void cancel(Job& job, std::optional<std::size_t> node = std::nullopt);
@@ -337,6 +341,8 @@
     std::vector<std::pair<Millis, std::string>> listings_;
     std::uint64_t next_worker_ = 0;
     Millis boot_ms_ = 6000;
+    double never_ = 0.04;
+    std::size_t state_requests_ = 0;
     int capacity_ = 12;
     std::vector<Job> jobs_;
     std::map<std::string, std::size_t> job_index_;
