--- a/src/control/feed.cpp
+++ b/src/control/feed.cpp
@@ -65,6 +65,8 @@
 void Feed::loaded_at(std::map<std::string, Open> jobs, std::uint64_t revision) {
     const auto before = std::move(open_);
     open_ = std::move(jobs);
+    // Read page by page, a job may have ended since its page; a final word never changes.
+    std::erase_if(open_, [&](const auto& job) { return finals_.contains(job.first); });
     revision_ = revision;
     read_at_ = std::max(read_at_, load_sent_);
     // What was told before this read, by an earlier run of this node too, is in it.
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -326,20 +326,21 @@
     }
     if (!ready_) return beat_before_ready(report);
     const auto now = port_.now();
+    // A lease that nobody can vouch for ends: work on that machine may have been called off.
+    const bool may_renew = host_.may_renew_leases();
     const bool may_start = host_.may_run();
     core::BeatOutcome outcome;
     wire::BeatAnswer answer{token_, {}};
     with([&](core::Cluster& c) {
         outcome = c.on_report(report, true, now);
         // A late copy gets no orders: nobody waits for its answer.
-        if (outcome.fresh && !c.calling(report.machine)) {
+        if (may_renew && outcome.fresh && !c.calling(report.machine)) {
             answer.orders = c.beat_orders(report.machine, report.seq, may_start, now);
         }
         answer.token = c.token_for(report.machine);
     });
     if (outcome.changed) changed();
-    // A lease that nobody can vouch for ends: work on that machine may have been called off.
-    if (!host_.may_renew_leases()) return std::nullopt;
+    if (!may_renew) return std::nullopt;
     return answer;
 }
 
