Let go of a stopped task whose direct start command is refused

Cause: direct_result() put the attempt back to be sent although it was to be stopped; it was then neither sent nor halted, for the rest of the term.

--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -272,6 +272,7 @@
     void mark_dirty(Job& job, std::uint32_t task);
     void mark_lazy(Job& job, std::uint32_t task, Millis now);
     void stop_hold(HoldIx ix, double grace_s, Millis now);
+    void run_came_to_nothing(HoldIx ix, Millis now);
     void stop_with_gang(HoldIx ix, double grace_s, Millis now);
     void on_exit(HoldIx ix, const TaskReport& task, Millis now);
     void note_failure(Job& job, MachineIx machine, Millis now);
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -138,12 +138,7 @@
                 if (h.direct_doubt || h.direct_open > 0) break;
                 if (!is_beat || report.seq <= h.beat_seq) break;
                 missed |= h.beat_seq != 0;
-                if (h.stop) {
-                    release(hix, true, now);
-                } else {
-                    h.state = Hold::State::Ready;
-                    attention_.insert(mix);
-                }
+                run_came_to_nothing(hix, now);
                 outcome.changed = true;
                 break;
             case Hold::State::Seen:
@@ -356,9 +351,11 @@
                                                                       : kUnansweredPause);
     for (const auto& order : direct.orders) {
         if (order.kind != Order::Kind::Run) continue;
-        for (auto hix : machine.holds) {
+        // A copy, as an attempt that ends here may take others of its gang with it.
+        const auto held = machine.holds;
+        for (auto hix : held) {
             Hold& h = holds_[hix];
-            if (h.attempt != order.attempt || h.task != order.task ||
+            if (h.job == kNone || h.attempt != order.attempt || h.task != order.task ||
                 jobs_[h.job].id != order.job) {
                 continue;
             }
@@ -368,8 +365,7 @@
             }
             if (result == DirectResult::NotExecuted && h.state == Hold::State::Sent &&
                 !h.direct_doubt && h.direct_open == 0 && h.beat_seq == 0) {
-                h.state = Hold::State::Ready;
-                attention_.insert(it->second);
+                run_came_to_nothing(hix, now);
             }
         }
     }
--- a/src/core/holds.cpp
+++ b/src/core/holds.cpp
@@ -118,6 +118,19 @@
     }
 }
 
+// A run that was sent and surely comes to nothing. What is to be stopped by now is over with it:
+// kept as one to be sent, it would be neither sent nor halted and would count against its machine
+// for ever.
+void Cluster::run_came_to_nothing(HoldIx ix, Millis now) {
+    Hold& h = holds_[ix];
+    if (h.stop) {
+        release(ix, true, now);
+        return;
+    }
+    h.state = Hold::State::Ready;
+    attention_.insert(h.machine);
+}
+
 void Cluster::stop_with_gang(HoldIx ix, double grace_s, Millis now) {
     Job& job = jobs_[holds_[ix].job];
     if (!job.spec.gang) {
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -115,6 +115,59 @@
     EXPECT_TRUE(wire::parse_image_hints_value(wire::image_hints_value(hints, 20))->empty());
 }
 
+// A task that is to be stopped while its direct run is still under way, and whose run the worker
+// then refuses, was kept for ever as one to be started: it was neither sent nor halted, its job
+// waited beside free machines, and its capacity and its team's quota stayed taken.
+TEST_F(ClusterTest, StoppedTaskWhoseRunIsRefusedWaitsAgainOrEnds) {
+    for (const bool cancelled : {false, true}) {
+        Names types;
+        Names zones;
+        Cluster cluster(settings(), types, zones);
+        MachineType type;
+        type.name = "box";
+        type.room = {8000, 2000, 16000};
+        type.zones = {"a"};
+        cluster.set_types({type});
+        Report report;
+        report.machine = "host-1";
+        report.endpoint = "10.0.0.1:1";
+        report.type = "box";
+        report.zone = "a";
+        report.session = 1;
+        report.seq = 1;
+        report.token = 3;
+        cluster.on_report(report, true, 1000);
+        JobText job;
+        job.id = "job-000001";
+        job.team = "core";
+        job.cpus = 4;
+        cluster.add_job(job, 1, 1000);
+        Plan plan;
+        plan.starts.push_back({0, {0}, 0, {}});
+        ASSERT_EQ(cluster.apply(plan, 1100).starts, 1U);
+        const auto writes = cluster.next_chunk_writes(8, 40'000, false, 1200);
+        ASSERT_EQ(writes.size(), 1U);
+        cluster.chunk_written(writes[0], true, 7, 1300);
+        const auto direct = cluster.direct_orders("host-1", true, 1300);
+        ASSERT_EQ(direct.orders.size(), 1U);
+        if (cancelled) {
+            cluster.job_over(job.id, true, 1350);
+        } else {
+            const auto running = cluster.snapshot(1350, 0).holds;
+            ASSERT_EQ(running.size(), 1U);
+            Plan stop;
+            stop.stops.emplace_back(running[0].ix, running[0].attempt);
+            cluster.apply(stop, 1350);
+        }
+        cluster.direct_result(direct, Cluster::DirectResult::NotExecuted, 1400);
+        const auto after = cluster.snapshot(1500, 0);
+        EXPECT_TRUE(after.holds.empty());
+        EXPECT_EQ(after.items.size(), cancelled ? 0U : 1U);
+        EXPECT_EQ(after.team_used.at(0), Room{});
+        EXPECT_EQ(cluster.has_job(job.id), !cancelled);
+    }
+}
+
 TEST_F(ClusterTest, GateRefusesWhatThePlannerMustNotAsk) {
     beat("host-1", 1, 1000);
     JobText job;
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -1345,16 +1345,20 @@
 void World::check_waiting() {
     if (now_ % 1000 != 0 || now_ < std::max(troubles_over_, options_.busy_ms)) return;
     std::map<std::string, double> used;
-    std::set<std::string> placed;
+    std::map<std::string, std::set<std::uint32_t>> placed;  // tasks, by job
     for (const auto& [name, w] : workers_) {
         for (const auto& t : w.tasks) {
-            placed.insert(t.job);
+            placed[t.job].insert(t.task);
             if (t.state != "exited") used[job(t.job)->team] += job(t.job)->cpus;
         }
     }
     for (auto& j : jobs_) {
+        // Of an array a single task may be left behind while the others have long ended.
+        auto served = placed[j.id];
+        served.insert(j.done_tasks.begin(), j.done_tasks.end());
+        const bool left = j.kind == "ensemble" ? served.empty() : served.size() < j.count;
         const bool waits = j.accepted >= 0 && j.cancel_asked < 0 && !j.always_fails &&
-                           !j.done_told && j.done_tasks.size() < j.count && !placed.contains(j.id);
+                           !j.done_told && j.done_tasks.size() < j.count && left;
         if (!waits || !has_room(j, used)) {
             j.room_since = -1;
         } else if (j.room_since < 0) {
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -47,7 +47,7 @@
     bool done_told = false;
     Millis give_up_submit = 0;
     Millis answered = -1;    // the last question about it that got an answer
-    Millis room_since = -1;  // nothing of it is on a machine, though there is room for it
+    Millis room_since = -1;  // something of it waits, though there is room for it
     Millis begun = -1;       // gang: all tasks ran; array: one did
     // What is true.
     std::set<std::uint32_t> done_tasks;
