Back off only jobs without a completed task, 30 s at most

Cause: failures were counted by task, so an array that met two faulty machines waited up to 64 s beside free ones, as if it had a mistake; a job that fails everywhere avoided every machine it had been on, which left it waiting or rented a new one for each try.

--- a/src/control/policy.cpp
+++ b/src/control/policy.cpp
@@ -31,7 +31,7 @@
 starving_after = if job.gang then 1min else 2min
 
 # How long a job that failed on several machines waits before the next try.
-retry_after = min(1s * 2 ^ job.failures, 64s)
+retry_after = min(1s * 2 ^ job.failures, 30s)
 
 # A place that comes free that soon needs no new machine; no new ordinary one.
 rent_patience = clamp(job.slack * 0.5, 3s, 20s)
@@ -123,22 +123,24 @@
     double least;
     double most;
 };
-constexpr std::array<Range, 15> kRanges = {{{0, 1000},
-                                            {0, 1000},
-                                            {0, 1000},
-                                            {0, 1000},
-                                            {0, 1000},
-                                            {0, 1000},
-                                            {-1e9, 1e9},
-                                            // The largest have to begin within four minutes.
-                                            {5, 150},
-                                            {0.5, 600},
-                                            {0, 3600},
-                                            {0, 3600},
-                                            {0, 3600},
-                                            {0, 10000},
-                                            {0, 600},
-                                            {2, 600}}};
+constexpr std::array<Range, 15> kRanges = {
+    {{0, 1000},
+     {0, 1000},
+     {0, 1000},
+     {0, 1000},
+     {0, 1000},
+     {0, 1000},
+     {-1e9, 1e9},
+     // The largest have to begin within four minutes.
+     {5, 150},
+     // A try with its fetch has to come within the 90 s for which nothing may wait beside capacity.
+     {0.5, 60},
+     {0, 3600},
+     {0, 3600},
+     {0, 3600},
+     {0, 10000},
+     {0, 600},
+     {2, 600}}};
 
 std::string_view priority_name(core::Priority priority) {
     switch (priority) {
--- a/src/core/machines.cpp
+++ b/src/core/machines.cpp
@@ -1,4 +1,6 @@
 // The machines of the fleet: how they become known, are judged, given back and forgotten.
+#include <cmath>
+
 #include "core/cluster.h"
 
 namespace lichendrift::core {
@@ -14,6 +16,9 @@
 constexpr Millis kManySilent = 60'000;   // the least time for which many may be silent at once
 constexpr Millis kUnlistedFor = 12'000;  // no list is that late
 constexpr Millis kUnheardMargin = 3000;  // for a question to it that gets no answer
+// Between two tries of a job that fails everywhere. With the fetch of its image a try has to come
+// well within the 90 s for which no job may be left waiting beside capacity that fits.
+constexpr double kLongestBackoffSeconds = 30;
 
 }  // namespace
 
@@ -73,15 +78,17 @@
     Machine& machine = machines_[mix];
     job.failures++;
     job.failed_on.insert(mix);
-    const auto step = std::min<std::uint32_t>(job.failures, 6);
+    // A job of which a task has completed has no mistake in it: its failures are the machines', and
+    // the rest of it must not wait for them.
+    const bool sound = job.done > 0;
     // The first failure is mostly the machine's; a job that fails everywhere waits longer.
-    if (job.failed_on.size() >= 2) {
-        job.retry_at =
-            now + (settings_.policy
-                       ? static_cast<Millis>(settings_.policy->retry_s(facts(job)) * 1000)
-                       : 1000LL << step);
+    if (!sound && job.failed_on.size() >= 2) {
+        const double backoff_s = settings_.policy
+                                     ? settings_.policy->retry_s(facts(job))
+                                     : std::min(std::exp2(job.failures), kLongestBackoffSeconds);
+        job.retry_at = now + static_cast<Millis>(backoff_s * 1000);
     }
-    if (job.failed_on.size() <= 2) {
+    if (sound || job.failed_on.size() <= 2) {
         machine.failed_jobs.insert(static_cast<JobIx>(job_ids_[job.id]));
         machine.quarantine_until = now + 3000;
         if (machine.failed_jobs.size() >= 2) {
--- a/src/core/picture.cpp
+++ b/src/core/picture.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Millis kWarmFor = 600'000;
+constexpr std::size_t kMachinesThatProveAMistake = 3;
 
 // Seconds left until the next aim that can still be met is lost. What has lost them all waits like
 // something with moderate time left, and less the longer it waits: it neither goes before what can
@@ -231,7 +232,11 @@
             item.rent_patience_s = policy->rent_patience_s(about);
             item.dear_patience_s = policy->dear_patience_s(about);
         }
-        item.avoid.assign(job.failed_on.begin(), job.failed_on.end());
+        // What fails everywhere has a mistake: to keep it off ever more machines would rent a new
+        // one for each try, and leave it waiting beside capacity that fits.
+        if (job.done > 0 || job.failed_on.size() < kMachinesThatProveAMistake) {
+            item.avoid.assign(job.failed_on.begin(), job.failed_on.end());
+        }
         if (!job.spec.one_zone && !job.spec.apart) continue;
         item.zone_counts.resize(zones_.size());
         for (const auto& [task, hix] : job.holds) {
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -168,6 +168,67 @@
     }
 }
 
+// An array that met two faulty machines was backed off as if it had a mistake, by a second doubled
+// for each failed task: a minute of waiting beside free machines, again and again.
+TEST_F(ClusterTest, JobWithACompletedTaskIsNotBackedOffForFaultyMachines) {
+    for (const bool sound : {false, true}) {
+        Names types;
+        Names zones;
+        auto with_capacity = settings();
+        with_capacity.teams = {{"core", {}, {}}};
+        Cluster cluster(with_capacity, types, zones);
+        MachineType type;
+        type.name = "box";
+        type.room = {8000, 2000, 16000};
+        type.zones = {"a"};
+        cluster.set_types({type});
+        Report report;
+        report.endpoint = "10.0.0.1:1";
+        report.type = "box";
+        report.zone = "a";
+        report.session = 1;
+        report.token = 3;
+        JobText job;
+        job.id = "job-000001";
+        job.team = "core";
+        job.cpus = 4;
+        job.count = 8;
+        cluster.add_job(job, 1, 1000);
+        Plan plan;
+        plan.starts.push_back({0, {}, 0, {}});
+        for (std::uint32_t machine = 0; machine < 3; ++machine) {
+            report.machine = "host-" + std::to_string(machine);
+            report.seq = 1;
+            cluster.on_report(report, true, 1000);
+            plan.starts[0].machines.push_back(machine);
+            plan.starts[0].machines.push_back(machine);
+        }
+        ASSERT_EQ(cluster.apply(plan, 1100).starts, 1U);
+        const auto writes = cluster.next_chunk_writes(8, 40'000, false, 1200);
+        ASSERT_EQ(writes.size(), 1U);
+        cluster.chunk_written(writes[0], true, 7, 1300);
+        for (std::uint32_t machine = 0; machine < 3; ++machine) {
+            report.machine = "host-" + std::to_string(machine);
+            const auto direct = cluster.direct_orders(report.machine, true, 1300);
+            ASSERT_EQ(direct.orders.size(), 2U);
+            cluster.direct_result(direct, Cluster::DirectResult::Executed, 1400);
+            report.seq = 2;
+            report.tasks.clear();
+            for (const auto& order : direct.orders) {
+                const bool done = sound && machine == 0;
+                report.tasks.push_back({order.job, order.task, order.attempt, TaskPhase::Exited,
+                                        done ? ExitWhy::Done : ExitWhy::Error, false});
+            }
+            cluster.on_report(report, true, 2000);
+        }
+        const auto items = cluster.snapshot(2100, 0).items;
+        ASSERT_EQ(items.size(), 1U);
+        EXPECT_EQ(items[0].blocked, !sound);
+        // Even what fails everywhere is tried again well within the 90 s that nothing may wait.
+        EXPECT_FALSE(cluster.snapshot(2000 + 45'000, 0).items[0].blocked);
+    }
+}
+
 TEST_F(ClusterTest, GateRefusesWhatThePlannerMustNotAsk) {
     beat("host-1", 1, 1000);
     JobText job;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -172,7 +172,7 @@
     job.failures = 3;
     EXPECT_DOUBLE_EQ(built_in.retry_s(job), 8);
     job.failures = 1000;
-    EXPECT_DOUBLE_EQ(built_in.retry_s(job), 64);
+    EXPECT_DOUBLE_EQ(built_in.retry_s(job), 30);
     core::FleetFacts fleet;
     fleet.report_s = 1.5;
     EXPECT_DOUBLE_EQ(built_in.silent_s(fleet), 8.375);
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -1357,8 +1357,8 @@
         auto served = placed[j.id];
         served.insert(j.done_tasks.begin(), j.done_tasks.end());
         const bool left = j.kind == "ensemble" ? served.empty() : served.size() < j.count;
-        const bool waits = j.accepted >= 0 && j.cancel_asked < 0 && !j.always_fails &&
-                           !j.done_told && j.done_tasks.size() < j.count && left;
+        const bool waits = j.accepted >= 0 && j.cancel_asked < 0 && !j.done_told &&
+                           j.done_tasks.size() < j.count && left;
         if (!waits || !has_room(j, used)) {
             j.room_since = -1;
         } else if (j.room_since < 0) {
