--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -331,7 +331,8 @@
     std::vector<char> zone_cut_;     // nearly all machines of the zone fell silent together
     std::vector<Millis> zone_back_;  // when the zone was cut off last; -1: never
     Millis drained_at_ = -1'000'000;
-    Millis sure_since_ = -1;  // -1: not sure to lead
+    Millis sure_since_ = -1;      // -1: not sure to lead
+    Millis most_silent_at_ = -1;  // when most machines were silent at once last; -1: never
     std::vector<MachineIx> free_machines_;
     std::vector<HoldIx> free_holds_;
     std::set<std::pair<JobIx, std::uint32_t>> dirty_;  // records to write
--- a/src/core/machines.cpp
+++ b/src/core/machines.cpp
@@ -239,6 +239,8 @@
         if (machine.deaf_since != 0) ++deaf;
         if (machine.lost_leases >= kLostLeases) ++losing;
     }
+    const bool most_silent = heard * 2 < up;
+    if (most_silent) most_silent_at_ = now;
     // A report goes missing, the worker waits 4 s for its answer and a second for the next node.
     auto patience = settings_.report_ms * 5 / 4 + 5000 + 1500;
     if (settings_.policy) {
@@ -263,12 +265,16 @@
         }
         if (machine.life == Machine::Life::Returning) continue;
         if (machine.life == Machine::Life::Up) {
+            const auto silent_since =
+                std::max({machine.heard_at, expected_since(machine), sure_since_});
+            // Once most are heard again, the others' reports are on their way: their time counts
+            // anew.
             const auto silent =
-                now - std::max({machine.heard_at, expected_since(machine), sure_since_});
+                now - (most_silent ? silent_since : std::max(silent_since, most_silent_at_));
             // Many silent at once is a cut of ours rather than their fault.
             const auto bound = in_cut_zone(machine) ? cut_patience : patience;
             // For ever it is not: a fleet that had shrunk to one hanging machine kept its tasks.
-            const bool many = heard * 2 < up && silent <= std::max(cut_patience, kManySilent);
+            const bool many = most_silent && silent <= std::max(cut_patience, kManySilent);
             if (silent > bound && !many) {
                 if (!settings_.guards.silence_is_no_proof) {
                     const auto mix = static_cast<MachineIx>(&machine - machines_.data());
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -229,6 +229,28 @@
     }
 }
 
+// The leader had lost the way to all workers. As soon as half of them were heard again, it returned
+// the other half, whose reports came in the same second.
+TEST_F(ClusterTest, FirstReportsAfterAllWereSilentDoNotCostTheOthers) {
+    const std::vector<std::string> names{"host-1", "host-2", "host-3", "host-4"};
+    for (const auto& name : names) beat(name, 1, 1000);
+    cluster_.tick(1500);
+    for (Millis now = 2000; now <= 20'000; now += 250) cluster_.tick(now);
+    beat("host-1", 2, 20'100);
+    beat("host-2", 2, 20'100);
+    cluster_.tick(20'250);
+    EXPECT_TRUE(cluster_.next_returns(9, 20'250).empty());
+    beat("host-3", 2, 20'900);
+    // One that does not come back is not waited for without end.
+    for (Millis now = 21'000; now <= 40'000; now += 1000) {
+        for (const auto* name : {"host-1", "host-2", "host-3"}) {
+            beat(name, static_cast<std::uint64_t>(now), now);
+        }
+        cluster_.tick(now);
+    }
+    EXPECT_EQ(cluster_.next_returns(9, 40'000), std::vector<std::string>{"host-4"});
+}
+
 TEST_F(ClusterTest, GateRefusesWhatThePlannerMustNotAsk) {
     beat("host-1", 1, 1000);
     JobText job;
