--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -10,7 +10,8 @@
 
 class ClusterTest : public ::testing::Test {
   protected:
-    ClusterTest() : cluster_(settings(), types_, zones_) {
+    explicit ClusterTest(const ClusterSettings& with = settings())
+        : cluster_(with, types_, zones_) {
         MachineType type;
         type.name = "box";
         type.room = {8000, 2000, 16000};
@@ -25,7 +26,8 @@
         s.token = 3;
         return s;
     }
-    void beat(const std::string& name, std::uint64_t seq, Millis now, std::uint64_t token = 3) {
+    void beat(const std::string& name, std::uint64_t seq, Millis now, std::uint64_t token = 3,
+              std::vector<TaskReport> tasks = {}) {
         Report r;
         r.machine = name;
         r.endpoint = "10.0.0.1:1";
@@ -34,8 +36,19 @@
         r.session = 1;
         r.seq = seq;
         r.token = token;
+        r.tasks = std::move(tasks);
         cluster_.on_report(r, true, now);
     }
+    // The first job, placed on these machines, with its record durable at 1300.
+    void start_recorded(const JobText& job, const std::vector<MachineIx>& machines) {
+        cluster_.add_job(job, 1, 1000);
+        Plan plan;
+        plan.starts.push_back({0, machines, 0, {}});
+        ASSERT_EQ(cluster_.apply(plan, 1100).starts, 1U);
+        const auto writes = cluster_.next_chunk_writes(8, 40'000, false, 1200);
+        ASSERT_EQ(writes.size(), 1U);
+        cluster_.chunk_written(writes[0], true, 7, 1300);
+    }
     bool usable(std::size_t machine, Millis now) {
         return cluster_.snapshot(now, 0).machines.at(machine).usable;
     }
@@ -118,116 +131,81 @@
 // A task that is to be stopped while its direct run is still under way, and whose run the worker
 // then refuses, was kept for ever as one to be started: it was neither sent nor halted, its job
 // waited beside free machines, and its capacity and its team's quota stayed taken.
-TEST_F(ClusterTest, StoppedTaskWhoseRunIsRefusedWaitsAgainOrEnds) {
-    for (const bool cancelled : {false, true}) {
-        Names types;
-        Names zones;
-        Cluster cluster(settings(), types, zones);
-        MachineType type;
-        type.name = "box";
-        type.room = {8000, 2000, 16000};
-        type.zones = {"a"};
-        cluster.set_types({type});
-        Report report;
-        report.machine = "host-1";
-        report.endpoint = "10.0.0.1:1";
-        report.type = "box";
-        report.zone = "a";
-        report.session = 1;
-        report.seq = 1;
-        report.token = 3;
-        cluster.on_report(report, true, 1000);
-        JobText job;
-        job.id = "job-000001";
-        job.team = "core";
-        job.cpus = 4;
-        cluster.add_job(job, 1, 1000);
-        Plan plan;
-        plan.starts.push_back({0, {0}, 0, {}});
-        ASSERT_EQ(cluster.apply(plan, 1100).starts, 1U);
-        const auto writes = cluster.next_chunk_writes(8, 40'000, false, 1200);
-        ASSERT_EQ(writes.size(), 1U);
-        cluster.chunk_written(writes[0], true, 7, 1300);
-        const auto direct = cluster.direct_orders("host-1", true, 1300);
-        ASSERT_EQ(direct.orders.size(), 1U);
-        if (cancelled) {
-            cluster.job_over(job.id, true, 1350);
-        } else {
-            const auto running = cluster.snapshot(1350, 0).holds;
-            ASSERT_EQ(running.size(), 1U);
-            Plan stop;
-            stop.stops.emplace_back(running[0].ix, running[0].attempt);
-            cluster.apply(stop, 1350);
-        }
-        cluster.direct_result(direct, Cluster::DirectResult::NotExecuted, 1400);
-        const auto after = cluster.snapshot(1500, 0);
-        EXPECT_TRUE(after.holds.empty());
-        EXPECT_EQ(after.items.size(), cancelled ? 0U : 1U);
-        EXPECT_EQ(after.team_used.at(0), Room{});
-        EXPECT_EQ(cluster.has_job(job.id), !cancelled);
+class RefusedStartTest : public ClusterTest, public ::testing::WithParamInterface<bool> {};
+
+TEST_P(RefusedStartTest, LetsGoOfATaskThatWasToBeStopped) {
+    const bool cancelled = GetParam();
+    beat("host-1", 1, 1000);
+    JobText job;
+    job.id = "job-000001";
+    job.team = "core";
+    job.cpus = 4;
+    start_recorded(job, {0});
+    const auto direct = cluster_.direct_orders("host-1", true, 1300);
+    ASSERT_EQ(direct.orders.size(), 1U);
+    if (cancelled) {
+        cluster_.job_over(job.id, true, 1350);
+    } else {
+        const auto running = cluster_.snapshot(1350, 0).holds;
+        ASSERT_EQ(running.size(), 1U);
+        Plan stop;
+        stop.stops.emplace_back(running[0].ix, running[0].attempt);
+        cluster_.apply(stop, 1350);
     }
+    cluster_.direct_result(direct, Cluster::DirectResult::NotExecuted, 1400);
+    const auto after = cluster_.snapshot(1500, 0);
+    EXPECT_TRUE(after.holds.empty());
+    EXPECT_EQ(after.items.size(), cancelled ? 0U : 1U);
+    EXPECT_EQ(after.team_used.at(0), Room{});
+    EXPECT_EQ(cluster_.has_job(job.id), !cancelled);
 }
+INSTANTIATE_TEST_SUITE_P(Stopped, RefusedStartTest, ::testing::Bool(), [](const auto& param) {
+    return std::string(param.param ? "ByItsUser" : "ToMakeRoom");
+});
 
 // An array that met two faulty machines was backed off as if it had a mistake, by a second doubled
 // for each failed task: a minute of waiting beside free machines, again and again.
-TEST_F(ClusterTest, JobWithACompletedTaskIsNotBackedOffForFaultyMachines) {
-    for (const bool sound : {false, true}) {
-        Names types;
-        Names zones;
-        auto with_capacity = settings();
-        with_capacity.teams = {{"core", {}, {}}};
-        Cluster cluster(with_capacity, types, zones);
-        MachineType type;
-        type.name = "box";
-        type.room = {8000, 2000, 16000};
-        type.zones = {"a"};
-        cluster.set_types({type});
-        Report report;
-        report.endpoint = "10.0.0.1:1";
-        report.type = "box";
-        report.zone = "a";
-        report.session = 1;
-        report.token = 3;
-        JobText job;
-        job.id = "job-000001";
-        job.team = "core";
-        job.cpus = 4;
-        job.count = 8;
-        cluster.add_job(job, 1, 1000);
-        Plan plan;
-        plan.starts.push_back({0, {}, 0, {}});
-        for (std::uint32_t machine = 0; machine < 3; ++machine) {
-            report.machine = "host-" + std::to_string(machine);
-            report.seq = 1;
-            cluster.on_report(report, true, 1000);
-            plan.starts[0].machines.push_back(machine);
-            plan.starts[0].machines.push_back(machine);
-        }
-        ASSERT_EQ(cluster.apply(plan, 1100).starts, 1U);
-        const auto writes = cluster.next_chunk_writes(8, 40'000, false, 1200);
-        ASSERT_EQ(writes.size(), 1U);
-        cluster.chunk_written(writes[0], true, 7, 1300);
-        for (std::uint32_t machine = 0; machine < 3; ++machine) {
-            report.machine = "host-" + std::to_string(machine);
-            const auto direct = cluster.direct_orders(report.machine, true, 1300);
-            ASSERT_EQ(direct.orders.size(), 2U);
-            cluster.direct_result(direct, Cluster::DirectResult::Executed, 1400);
-            report.seq = 2;
-            report.tasks.clear();
-            for (const auto& order : direct.orders) {
-                const bool done = sound && machine == 0;
-                report.tasks.push_back({order.job, order.task, order.attempt, TaskPhase::Exited,
-                                        done ? ExitWhy::Done : ExitWhy::Error, false});
-            }
-            cluster.on_report(report, true, 2000);
+class FaultyMachinesTest : public ClusterTest, public ::testing::WithParamInterface<bool> {
+  protected:
+    static ClusterSettings without_limits() {
+        auto with = settings();
+        with.teams = {{"core", {}, {}}};
+        return with;
+    }
+    FaultyMachinesTest() : ClusterTest(without_limits()) {}
+};
+
+TEST_P(FaultyMachinesTest, BackOffOnlyAJobOfWhichNoTaskHasCompleted) {
+    const bool sound = GetParam();
+    const std::vector<std::string> names{"host-0", "host-1", "host-2"};
+    for (const auto& name : names) beat(name, 1, 1000);
+    JobText job;
+    job.id = "job-000001";
+    job.team = "core";
+    job.cpus = 4;
+    job.count = 8;
+    start_recorded(job, {0, 0, 1, 1, 2, 2});
+    for (const auto& name : names) {
+        const auto direct = cluster_.direct_orders(name, true, 1300);
+        ASSERT_EQ(direct.orders.size(), 2U);
+        cluster_.direct_result(direct, Cluster::DirectResult::Executed, 1400);
+        std::vector<TaskReport> exited;
+        for (const auto& order : direct.orders) {
+            const bool done = sound && name == "host-0";
+            exited.push_back({order.job, order.task, order.attempt, TaskPhase::Exited,
+                              done ? ExitWhy::Done : ExitWhy::Error, false});
         }
-        const auto items = cluster.snapshot(2100, 0).items;
-        ASSERT_EQ(items.size(), 1U);
-        EXPECT_EQ(items[0].blocked, !sound);
-        // Even what fails everywhere is tried again well within the 90 s that nothing may wait.
-        EXPECT_FALSE(cluster.snapshot(2000 + 45'000, 0).items[0].blocked);
+        beat(name, 2, 2000, 3, exited);
     }
+    const auto items = cluster_.snapshot(2100, 0).items;
+    ASSERT_EQ(items.size(), 1U);
+    EXPECT_EQ(items[0].blocked, !sound);
+    // Even what fails everywhere is tried again well within the 90 s that nothing may wait.
+    EXPECT_FALSE(cluster_.snapshot(2000 + 45'000, 0).items[0].blocked);
 }
+INSTANTIATE_TEST_SUITE_P(Jobs, FaultyMachinesTest, ::testing::Bool(), [](const auto& param) {
+    return std::string(param.param ? "WithACompletedTask" : "ThatFailEverywhere");
+});
 
 // The leader had lost the way to all workers. As soon as half of them were heard again, it returned
 // the other half, whose reports came in the same second.
