Route rentals and releases through typed, fenced actions; nothing switches them on yet

Need: a replaced controller's rentals and releases carry nothing that could refuse them. Change: package src/duty (claim of a duty, ledger of intents, cleanup's judgement, all pure); CloudClient takes only requests that a holder's permit made; the leader hands its wishes to MachineDuties. Without the features file nothing is stored or sent that was not before.

--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -15,6 +15,7 @@
 Answer answer_of(const net::HttpReply& reply) {
     if (reply.status == 200) return Answer::Ok;
     if (reply.status == 503 && wire::is_no_capacity(reply.body)) return Answer::NoCapacity;
+    if (reply.status == 409) return Answer::Stale;
     return reply.status == 0 && reply.sent ? Answer::NoAnswer : Answer::Trouble;
 }
 
@@ -49,19 +50,21 @@
          });
 }
 
-void CloudClient::rent(const std::string& request, const std::string& type, const std::string& zone,
-                       bool spot, std::uint32_t number, Millis not_after, OnRented done) {
-    call({"POST", "/rentals", wire::rental_body(request, type, zone, spot, number), not_after},
-         kTimeout, [this, done = std::move(done)](const net::HttpReply& reply) {
-             if (answer_of(reply) != Answer::Ok) return done(answer_of(reply), {});
-             auto names = wire::parse_rented(reply.body);
-             if (!names) return malformed_.note(port_.now()), done(Answer::NoAnswer, {});
-             done(Answer::Ok, std::move(*names));
-         });
+void CloudClient::rent(const duty::FencedRental& rental, OnRented done) {
+    call(
+        {"POST", "/rentals", wire::rental_body(rental.order(), rental.epoch()), rental.not_after()},
+        kTimeout, [this, done = std::move(done)](const net::HttpReply& reply) {
+            if (answer_of(reply) != Answer::Ok) return done(answer_of(reply), {});
+            auto names = wire::parse_rented(reply.body);
+            if (!names) return malformed_.note(port_.now()), done(Answer::NoAnswer, {});
+            done(Answer::Ok, std::move(*names));
+        });
 }
 
-void CloudClient::give_back(const std::vector<std::string>& names, Millis not_after, OnDone done) {
-    call({"POST", "/rentals/return", wire::return_body(names), not_after}, kTimeout,
+void CloudClient::give_back(const duty::FencedRelease& release, OnDone done) {
+    call({"POST", "/rentals/return", wire::return_body(release.machines(), release.epoch()),
+          release.not_after()},
+         kTimeout,
          [done = std::move(done)](const net::HttpReply& reply) { done(answer_of(reply)); });
 }
 
--- a/src/cloud/cloud_client.h
+++ b/src/cloud/cloud_client.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 
+#include "duty/fence.h"
 #include "net/malformed.h"
 #include "net/port.h"
 #include "wire/json_messages.h"
@@ -12,7 +13,13 @@
 
 using core::Millis;
 
-enum class Answer : std::uint8_t { Ok, NoCapacity, Trouble, NoAnswer };
+enum class Answer : std::uint8_t {
+    Ok,
+    NoCapacity,
+    Trouble,   // certainly not executed
+    Stale,     // refused by a cloud that knows of a later holder of the duty
+    NoAnswer,  // may have been executed, or may still be
+};
 
 // Client of the cloud: paced, every request with a deadline. Calls beyond the pace are refused
 // with Trouble; the caller's next round asks again.
@@ -29,10 +36,10 @@
         std::function<void(Answer, std::vector<core::ListedMachine>, std::set<std::string>)>;
 
     void types(OnTypes done);
-    // No token guards these two: they leave before `not_after` or never.
-    void rent(const std::string& request, const std::string& type, const std::string& zone,
-              bool spot, std::uint32_t number, Millis not_after, OnRented done);
-    void give_back(const std::vector<std::string>& names, Millis not_after, OnDone done);
+    // Only a holder of the duty can make these requests. They leave before their `not_after` or
+    // never.
+    void rent(const duty::FencedRental& rental, OnRented done);
+    void give_back(const duty::FencedRelease& release, OnDone done);
     // Reads all pages; the answer is Ok only if every page came.
     void list(OnListing done);
 
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -38,6 +38,7 @@
     store_.set_share(follower_share(settings_));
     outboxes_.resize(settings_.peers.size());
     peer_is_current_.resize(settings_.peers.size());
+    peer_fences_.resize(settings_.peers.size());
     job_watcher_.on_cancelled([this](const wire::Cancellation& word) { tell_cancelled(word); });
 }
 
@@ -56,6 +57,7 @@
     look();
     fetch_types();
     if (settings_.guards.current_version) ask_versions();
+    if (has_features()) ask_features();
 }
 
 std::string Controller::prefix() const {
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -87,6 +87,10 @@
     void fetch_types();
     void ask_versions();
     [[nodiscard]] bool peers_are_current() const override;
+    void ask_features();
+    [[nodiscard]] bool peers_fence_duties() const override;
+    void on_features(const std::string& body, const net::Respond& respond);
+    [[nodiscard]] bool has_features() const { return settings_.features.fenced_duties; }
     void announce(const std::vector<wire::JobCounts>& counts, bool all);
     // Cancellations that the state service does not tell this node of.
     void tell_cancelled(const wire::Cancellation& word);
@@ -127,6 +131,7 @@
     };
     std::vector<Outbox> outboxes_;
     std::vector<bool> peer_is_current_;  // told its version, and it is not older than this one
+    std::vector<bool> peer_fences_;      // told that it has fenced duties switched on
     Millis peers_know_at_ = 0;           // up to when all peers together vouch for cancellations
     bool renewals_held_ = false;
     net::Malformed malformed_workers_{"a worker"};
--- a/src/control/controller_peers.cpp
+++ b/src/control/controller_peers.cpp
@@ -39,6 +39,7 @@
     if (target == "/peer/version" && settings_.guards.current_version) {
         return on_version(request.body, respond);
     }
+    if (target == "/peer/features" && has_features()) return on_features(request.body, respond);
     respond(peer_answer(404));
 }
 
@@ -150,6 +151,39 @@
                        [](bool current) { return current; });
 }
 
+// ---- features ----
+
+void Controller::on_features(const std::string& body, const net::Respond& respond) {
+    if (!wire::decode_features(body)) return refuse_malformed(respond);
+    respond(peer_answer(
+        200, wire::encode_features(static_cast<std::uint64_t>(wire::Feature::FencedDuties))));
+}
+
+// Fencing begins once every controller takes part. From then on it is durable, so that a peer that
+// is down later does not switch it off.
+void Controller::ask_features() {
+    constexpr auto kFenced = static_cast<std::uint64_t>(wire::Feature::FencedDuties);
+    for (std::size_t i = 0; i < peer_fences_.size(); ++i) {
+        if (peer_fences_[i]) continue;
+        port_.call(settings_.peers[i].address,
+                   {"POST", "/peer/features", wire::encode_features(kFenced)}, kVersionDeadline,
+                   [this, i](const net::HttpReply& reply) {
+                       if (reply.status != 200 || peer_fences_[i]) return;
+                       const auto features = wire::decode_features(reply.body);
+                       if (!features) return malformed_peers_.note(port_.now());
+                       if ((*features & kFenced) == 0) return;
+                       peer_fences_[i] = true;
+                       if (peers_fence_duties()) log_info("all controllers fence their duties");
+                   });
+    }
+    if (!peers_fence_duties()) port_.after(kAskVersionsEvery, [this] { ask_features(); });
+}
+
+bool Controller::peers_fence_duties() const {
+    return has_features() && std::all_of(peer_fences_.begin(), peer_fences_.end(),
+                                         [](bool fences) { return fences; });
+}
+
 // ---- cancellations that the leader cannot read ----
 
 // A leader that the state service refuses alone goes on renewing the leases of its workers, while
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -56,6 +56,9 @@
     }
     cs.chunk_tasks = std::max(8U, static_cast<std::uint32_t>(kilobytes * 1024 / 80));
     for (const auto& zone : settings.zones) shared_->zones.intern(zone);
+    duties_ = std::make_shared<MachineDuties>(port, settings, store, cloud, host,
+                                              static_cast<MachineDutiesListener&>(*this), token,
+                                              leader_rev);
     shared_->cluster = std::make_unique<core::Cluster>(cs, shared_->types, shared_->zones);
 }
 
@@ -64,11 +67,13 @@
         with([&](core::Cluster& c) { c.set_types(known_types); });
         types_known_ = true;
     }
+    duties_->pump();
     load_jobs();
 }
 
 void Leader::stop() {
     stopped_ = true;
+    duties_->stop();
     job_watcher_.unfollow();
 }
 
@@ -99,7 +104,7 @@
     }
     if (host_.may_start()) write_hints();
     write();
-    return_machines();
+    release_machines();
     dispatch();
     sync_machines();
     port_.after(kTick, [self = shared_from_this()] { self->tick(); });
@@ -272,7 +277,7 @@
     if (!listed_ && now - ready_at_ < kListWait) return;
     // Demand comes in bits; renting at every plan would use up the cloud's pace.
     // A plan made before the last rental was answered does not know its machines.
-    if (renting_ == 0 && now >= rent_pause_ && plan.taken_at >= rented_at_ &&
+    if (!duties_->renting() && now >= rent_pause_ && plan.taken_at >= rented_at_ &&
         !applied.rents.empty()) {
         rent_pause_ = now + kRentSpacing;
         for (auto r : applied.rents) {
@@ -283,6 +288,7 @@
             }
             rent(r);
         }
+        duties_->pump();
     }
 }
 
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -7,6 +7,7 @@
 
 #include "cloud/cloud_client.h"
 #include "control/job_watcher.h"
+#include "control/machine_duties.h"
 #include "control/settings.h"
 #include "core/cluster.h"
 #include "net/malformed.h"
@@ -26,6 +27,8 @@
     virtual bool may_renew_leases() = 0;
     // Whether every controller is known to be of this version or a later one.
     [[nodiscard]] virtual bool peers_are_current() const = 0;
+    // Whether every controller is known to have fenced duties switched on.
+    [[nodiscard]] virtual bool peers_fence_duties() const = 0;
     virtual void step_down(const std::string& reason) = 0;
     virtual void log_info(const std::string& text) = 0;
     virtual void log_debug(const std::string& text) = 0;
@@ -35,7 +38,7 @@
 
 // One term of leadership: the cluster's picture, planning, records, commands, rentals. Made when
 // the election is won and dropped when it is lost.
-class Leader : public std::enable_shared_from_this<Leader> {
+class Leader : public std::enable_shared_from_this<Leader>, private MachineDutiesListener {
   public:
     Leader(net::Port& port, const Settings& settings, store::StoreClient& store,
            cloud::CloudClient& cloud, JobWatcher& job_watcher, LeaderHost& host,
@@ -79,16 +82,18 @@
     void write_finals();
     void write_orphans();
     void reread(const core::ChunkWrite& write);
-    void return_machines();
+    void release_machines();
     void dispatch();
     void direct(const std::string& machine);
     void ask_plan();
     void planned(const core::Plan& plan);
     void rent(const core::Rent& rent);
-    void rent_again(const std::string& request, const std::string& type, const std::string& zone,
-                    const core::Rent& rent, int tries);
-    void ask_rent(const std::string& request, const std::string& type, const std::string& zone,
-                  core::Rent rent, int tries);
+    // MachineDutiesListener.
+    void on_releases_inherited(const std::vector<std::string>& machines) override;
+    void on_released(const std::vector<std::string>& machines) override;
+    void on_rented(const duty::RentalOrder& order, const std::vector<std::string>& machines,
+                   bool refused, cloud::Answer answer) override;
+    void on_lease_lost() override;
     void changed();
     // Every write carries it, so that a late one of a leader that has lost fails.
     wire::Condition mine() const {
@@ -129,13 +134,11 @@
     int chunk_writes_ = 0;
     int final_writes_ = 0;
     bool orphan_write_ = false;
-    bool returning_ = false;
     bool listing_ = false;
     Millis listed_at_ = -100000;
     Millis types_at_ = -100000;
     bool asking_types_ = false;
     Millis counted_at_ = 0;
-    int renting_ = 0;
     Millis rent_pause_ = 0;
     Millis rented_at_ = -10000;  // the last rental's answer, or the first list
     std::uint64_t rentals_ = 0;
@@ -147,6 +150,8 @@
         core::PlacementRecord record;
         std::uint64_t rev = 0;
     };
+    std::shared_ptr<MachineDuties> duties_;
+    bool records_read_ = false;  // of placements; what remains are intents
     std::vector<Place> places_;
     std::vector<std::string> closed_;  // jobs with records that are not open any more
 };
--- a/src/control/leader_provisioning.cpp
+++ b/src/control/leader_provisioning.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr Millis kRentTrouble = 1500;
+constexpr std::size_t kMostReleases = 500;  // looked at in one go
 
 }  // namespace
 
@@ -47,83 +48,70 @@
     });
 }
 
-void Leader::return_machines() {
-    // A request that is held on its way would be carried out long after another leads.
-    if (returning_ || !host_.may_start()) return;
+void Leader::release_machines() {
     const auto now = port_.now();
-    auto names = with([&](core::Cluster& c) { return c.next_returns(100, now); });
-    if (names.empty()) return;
-    returning_ = true;
-    cloud_.give_back(names, host_.sure_until(),
-                     [self = shared_from_this(), names](cloud::Answer answer) {
-                         self->returning_ = false;
-                         if (self->stopped_) return;
-                         self->with([&](core::Cluster& c) {
-                             c.returned(names, answer == cloud::Answer::Ok, self->port_.now());
-                         });
-                         if (answer == cloud::Answer::Ok) {
-                             self->host_.log_info("returned " + std::to_string(names.size()) +
-                                                  " machines, " + names.front());
-                             self->changed();
-                         }
-                     });
+    std::vector<std::pair<std::string, bool>> wanted;
+    with([&](core::Cluster& c) {
+        for (auto& name : c.next_returns(kMostReleases, now)) {
+            const bool holds_tasks = c.holds_tasks(name);
+            wanted.emplace_back(std::move(name), holds_tasks);
+        }
+    });
+    // Tasks wait for the release of theirs; the others only cost money.
+    for (const auto& [name, holds_tasks] : wanted) duties_->want_release(name, holds_tasks);
+    duties_->pump();
+}
+
+void Leader::on_releases_inherited(const std::vector<std::string>& machines) {
+    const auto now = port_.now();
+    with([&](core::Cluster& c) { c.release_pending(machines, now); });
+    host_.log_info("finishes the release of " + std::to_string(machines.size()) + " machines, " +
+                   machines.front());
+}
+
+void Leader::on_released(const std::vector<std::string>& machines) {
+    with([&](core::Cluster& c) { c.returned(machines, true, port_.now()); });
+    host_.log_info("returned " + std::to_string(machines.size()) + " machines, " +
+                   machines.front());
+    changed();
 }
 
+void Leader::on_lease_lost() { host_.step_down("another leader has won"); }
+
 void Leader::rent(const core::Rent& rent) {
-    std::string type;
-    std::string zone;
+    // Token and counter: no request name is ever used twice, by any node.
+    duty::RentalOrder order;
+    order.request = "r-" + std::to_string(token_) + "-" + std::to_string(++rentals_);
+    order.spot = rent.spot;
+    order.number = rent.number;
     with([&](core::Cluster&) {
-        type = shared_->types.name(rent.type);
-        zone = shared_->zones.name(rent.zone);
+        order.type = shared_->types.name(rent.type);
+        order.zone = shared_->zones.name(rent.zone);
     });
-    // Token and counter: no request name is ever used twice, by any node.
-    const auto request = "r-" + std::to_string(token_) + "-" + std::to_string(++rentals_);
-    host_.log_info("rent " + std::to_string(rent.number) + " " + type + " in " + zone +
-                   (rent.spot ? " (spot) as " : " as ") + request);
-    ++renting_;
-    ask_rent(request, type, zone, rent, 6);
+    host_.log_info("rent " + std::to_string(order.number) + " " + order.type + " in " + order.zone +
+                   (order.spot ? " (spot) as " : " as ") + order.request);
+    duties_->want_rental(std::move(order));
 }
 
-void Leader::rent_again(const std::string& request, const std::string& type,
-                        const std::string& zone, const core::Rent& rent, int tries) {
-    port_.after(1000, [=, self = shared_from_this()] {
-        if (!self->stopped_) self->ask_rent(request, type, zone, rent, tries);
+void Leader::on_rented(const duty::RentalOrder& order, const std::vector<std::string>& machines,
+                       bool refused, cloud::Answer answer) {
+    const auto now = port_.now();
+    // Without an answer it is asked again; the next plan waits for what comes of it.
+    if (answer == cloud::Answer::NoAnswer && duties_->renting()) return;
+    rented_at_ = now;
+    if (answer == cloud::Answer::Trouble) rent_pause_ = now + kRentTrouble;
+    with([&](core::Cluster& c) {
+        if (answer == cloud::Answer::Ok) {
+            c.on_rented(order.type, order.zone, order.spot, machines, now);
+        }
+        if (refused) {
+            c.on_refused(shared_->types.intern(order.type), shared_->zones.intern(order.zone),
+                         order.spot, now);
+        }
     });
-}
-
-void Leader::ask_rent(const std::string& request, const std::string& type, const std::string& zone,
-                      core::Rent rent, int tries) {
-    if (!host_.may_start()) {
-        if (tries > 0) return rent_again(request, type, zone, rent, tries - 1);
-        --renting_;
-        return;
-    }
-    const auto number = rent.number;
-    cloud_.rent(request, type, zone, rent.spot, number, host_.sure_until(),
-                [self = shared_from_this(), request, type, zone, rent, tries, number](
-                    cloud::Answer answer, const std::vector<std::string>& names) {
-                    if (self->stopped_) return;
-                    const auto now = self->port_.now();
-                    if (answer == cloud::Answer::NoAnswer && tries > 0) {
-                        return self->rent_again(request, type, zone, rent, tries - 1);
-                    }
-                    --self->renting_;
-                    self->rented_at_ = now;
-                    if (answer == cloud::Answer::Trouble) self->rent_pause_ = now + kRentTrouble;
-                    self->with([&](core::Cluster& c) {
-                        if (answer == cloud::Answer::Ok) {
-                            c.on_rented(type, zone, rent.spot, names, now);
-                        }
-                        if (answer == cloud::Answer::NoCapacity ||
-                            (answer == cloud::Answer::Ok && names.size() < number)) {
-                            c.on_refused(rent.type, rent.zone, rent.spot, now);
-                        }
-                    });
-                    self->host_.log_info(
-                        "rental " + request + ": " + std::to_string(names.size()) + " machines" +
-                        (answer == cloud::Answer::NoCapacity ? ", no capacity" : ""));
-                    self->ask_plan();
-                });
+    host_.log_info("rental " + order.request + ": " + std::to_string(machines.size()) +
+                   " machines" + (answer == cloud::Answer::NoCapacity ? ", no capacity" : ""));
+    ask_plan();
 }
 
 }  // namespace lichendrift::control
--- a/src/control/leader_takeover.cpp
+++ b/src/control/leader_takeover.cpp
@@ -5,6 +5,12 @@
 
 namespace lichendrift::control {
 
+namespace {
+
+constexpr Millis kIntentsPause = 20;  // until it is looked again whether all intents are read
+
+}  // namespace
+
 void Leader::load_jobs() {
     job_watcher_.barrier([self = shared_from_this()](bool ok) {
         if (self->stopped_) return;
@@ -82,7 +88,10 @@
 }
 
 void Leader::load_over(std::size_t at) {
-    if (at >= closed_.size()) return loaded();
+    if (at >= closed_.size()) {
+        records_read_ = true;
+        return loaded();
+    }
     const auto id = closed_[at];
     store_.get(store::Lane::Leadership, "over/" + id,
                [self = shared_from_this(), id, at](store::Outcome outcome, const wire::Item& item) {
@@ -105,6 +114,13 @@
 }
 
 void Leader::loaded() {
+    if (stopped_ || ready_ || !records_read_) return;
+    // A machine that an earlier leader meant to release must not get work.
+    if (!duties_->inherited_known()) {
+        duties_->pump();
+        port_.after(kIntentsPause, [self = shared_from_this()] { self->loaded(); });
+        return;
+    }
     const auto now = port_.now();
     with([&](core::Cluster& c) {
         for (const auto& place : places_) {
--- /dev/null
+++ b/src/control/machine_duties.cpp
@@ -0,0 +1,250 @@
+#include "control/machine_duties.h"
+
+#include "control/fenced_store.h"
+#include "control/leader.h"
+
+namespace lichendrift::control {
+
+namespace {
+
+constexpr Millis kReportEvery = 60'000;
+constexpr Millis kStuckAfter = 30'000;  // an open intent this old is told of
+
+duty::CloudOutcome cloud_outcome(cloud::Answer answer) {
+    switch (answer) {
+        case cloud::Answer::Ok:
+            return duty::CloudOutcome::Done;
+        case cloud::Answer::NoCapacity:
+            return duty::CloudOutcome::NoCapacity;
+        case cloud::Answer::Trouble:
+        case cloud::Answer::Stale:
+            return duty::CloudOutcome::Trouble;
+        case cloud::Answer::NoAnswer:
+            return duty::CloudOutcome::NoAnswer;
+    }
+    return duty::CloudOutcome::NoAnswer;
+}
+
+duty::MachineHolder::Setup holder_setup(const Settings& settings, std::uint64_t term,
+                                        std::uint64_t leader_revision) {
+    duty::MachineHolder::Setup setup;
+    setup.member = settings.member;
+    setup.term = term;
+    setup.lease = {"leader", leader_revision};
+    setup.fencing = settings.features.fenced_duties;
+    setup.conditions = settings.guards.leader_condition;
+    setup.guards = {settings.guards.intent_first, settings.guards.intents_inherited,
+                    settings.guards.intent_kept};
+    return setup;
+}
+
+}  // namespace
+
+MachineDuties::MachineDuties(net::Port& port, const Settings& settings, store::StoreClient& store,
+                             cloud::CloudClient& cloud, LeaderHost& host,
+                             MachineDutiesListener& listener, std::uint64_t term,
+                             std::uint64_t leader_revision)
+    : port_(port),
+      store_(store),
+      cloud_(cloud),
+      host_(host),
+      listener_(listener),
+      holder_(holder_setup(settings, term, leader_revision)),
+      reported_at_(port.now()) {}
+
+duty::MachineHolder::Moment MachineDuties::moment() {
+    duty::MachineHolder::Moment moment;
+    moment.now = port_.now();
+    moment.sure = host_.may_start();
+    moment.not_after = host_.sure_until();
+    moment.may_activate = host_.peers_fence_duties();
+    moment.idle_writes = store_.has_room_for(store_.txn_ops());
+    moment.limits = {store_.lasting_value_bytes(), store_.txn_ops()};
+    return moment;
+}
+
+void MachineDuties::pump() {
+    if (stopped_) return;
+    if (pumping_) {
+        pump_wanted_ = true;
+        return;
+    }
+    pumping_ = true;
+    do {
+        pump_wanted_ = false;
+        for (const auto& action : holder_.due(moment())) {
+            std::visit([this](const auto& what) { carry_out(what); }, action);
+        }
+    } while (pump_wanted_ && !stopped_);
+    pumping_ = false;
+    report();
+}
+
+void MachineDuties::pump_again() {
+    if (holder_.lost()) return listener_.on_lease_lost();
+    pump();
+}
+
+void MachineDuties::want_release(const std::string& machine, bool urgent) {
+    holder_.want_release(machine, urgent, port_.now());
+}
+
+void MachineDuties::want_rental(duty::RentalOrder order) {
+    holder_.want_rental(std::move(order), port_.now());
+}
+
+// ---- the state service ----
+
+void MachineDuties::carry_out(const duty::MachineHolder::ReadDuty& action) {
+    store_.get(store::Lane::Leadership, duty::record_key(action.duty),
+               [self = shared_from_this(), duty = action.duty](store::Outcome outcome,
+                                                               const wire::Item& item) {
+                   if (self->stopped_) return;
+                   auto read = read_outcome(outcome);
+                   const auto record = read == duty::ReadOutcome::Found
+                                           ? wire::parse_duty_value(item.value)
+                                           : std::nullopt;
+                   if (read == duty::ReadOutcome::Found && !record) {
+                       read = duty::ReadOutcome::Damaged;
+                       self->host_.log_info("duty record " + item.key +
+                                            " is not readable: nothing is rented or released");
+                   }
+                   const bool held = self->holder_.claim(duty).held();
+                   self->holder_.on_duty_read(duty, read, record.value_or(duty::DutyRecord{}),
+                                              item.rev, self->port_.now());
+                   self->note_claim(duty, held);
+                   if (read != duty::ReadOutcome::Failed) self->pump_again();
+               });
+}
+
+void MachineDuties::carry_out(const duty::MachineHolder::ReadIntents& action) {
+    store_.list(store::Lane::Leadership, std::string(duty::kIntentPrefix), action.since,
+                [self = shared_from_this()](store::Outcome outcome, const wire::ItemPage& page) {
+                    if (self->stopped_) return;
+                    std::vector<duty::StoredIntent> stored;
+                    for (const auto& item : page.items) {
+                        stored.push_back(wire::parse_intent(item));
+                        if (!stored.back().damaged) continue;
+                        self->host_.log_info("intent " + item.key +
+                                             " is not readable: it is left in place");
+                    }
+                    const auto machines = self->holder_.on_intents_read(
+                        outcome == store::Outcome::Ok, stored, page.more, self->port_.now());
+                    if (!machines.empty()) self->listener_.on_releases_inherited(machines);
+                    if (outcome == store::Outcome::Ok) self->pump_again();
+                });
+}
+
+void MachineDuties::carry_out(const duty::MachineHolder::ReadIntent& action) {
+    store_.get(store::Lane::Submit, duty::intent_key(action.slot),
+               [self = shared_from_this(), slot = action.slot](store::Outcome outcome,
+                                                               const wire::Item& item) {
+                   if (self->stopped_) return;
+                   auto read = read_outcome(outcome);
+                   duty::StoredIntent stored;
+                   if (read == duty::ReadOutcome::Found) stored = wire::parse_intent(item);
+                   if (stored.damaged) read = duty::ReadOutcome::Damaged;
+                   self->holder_.on_intent_read(slot, read, stored.intent, item.rev,
+                                                self->port_.now());
+                   self->pump_again();
+               });
+}
+
+void MachineDuties::carry_out(const duty::MachineHolder::WriteDuty& action) {
+    send_write(store_, store::Lane::Leadership, action.write,
+               [self = shared_from_this(), duty = action.duty](const duty::WriteResult& result) {
+                   if (self->stopped_) return;
+                   const bool held = self->holder_.claim(duty).held();
+                   self->holder_.on_duty_written(duty, result, self->port_.now());
+                   self->note_claim(duty, held);
+                   self->pump_again();
+               });
+}
+
+void MachineDuties::carry_out(const duty::MachineHolder::WriteIntent& action) {
+    send_write(store_, store::Lane::Submit, action.write,
+               [self = shared_from_this(), slot = action.slot](const duty::WriteResult& result) {
+                   if (self->stopped_) return;
+                   self->holder_.on_intent_written(slot, result, self->port_.now());
+                   self->pump_again();
+               });
+}
+
+void MachineDuties::carry_out(const duty::MachineHolder::RemoveIntents& action) {
+    send_write(store_, store::Lane::Read, action.write,
+               [self = shared_from_this(), slots = action.slots](const duty::WriteResult& result) {
+                   if (self->stopped_) return;
+                   self->holder_.on_intents_removed(slots, result, self->port_.now());
+                   if (self->holder_.lost()) self->listener_.on_lease_lost();
+               });
+}
+
+// ---- the cloud ----
+
+void MachineDuties::carry_out(const duty::MachineHolder::AskRelease& action) {
+    cloud_.give_back(action.request, [self = shared_from_this(), slot = action.slot,
+                                      machines = action.request.machines()](cloud::Answer answer) {
+        if (self->stopped_) return;
+        if (answer == cloud::Answer::Stale) self->note_stale("release");
+        self->holder_.on_released(slot, machines.size(), cloud_outcome(answer), self->port_.now());
+        if (answer != cloud::Answer::Ok) return;
+        self->listener_.on_released(machines);
+        self->pump_again();
+    });
+}
+
+void MachineDuties::carry_out(const duty::MachineHolder::AskRental& action) {
+    cloud_.rent(action.request,
+                [self = shared_from_this(), slot = action.slot, order = action.request.order()](
+                    cloud::Answer answer, const std::vector<std::string>& machines) {
+                    if (self->stopped_) return;
+                    if (answer == cloud::Answer::Stale) self->note_stale("rental " + order.request);
+                    self->holder_.on_rented(slot, order.request, cloud_outcome(answer),
+                                            self->port_.now());
+                    const bool few = answer == cloud::Answer::Ok && machines.size() < order.number;
+                    self->listener_.on_rented(order, machines,
+                                              few || answer == cloud::Answer::NoCapacity, answer);
+                });
+}
+
+// ---- what operators see ----
+
+void MachineDuties::note_claim(duty::Duty duty, bool held_before) {
+    const auto& claim = holder_.claim(duty);
+    if (claim.held() == held_before) return;
+    const auto name = std::string(duty::name_of(duty));
+    if (claim.held()) {
+        host_.log_info("holds the duty " + name + ", epoch " + std::to_string(claim.epoch()));
+    } else {
+        host_.log_info("lost the duty " + name);
+    }
+}
+
+void MachineDuties::note_stale(const std::string& what) {
+    ++refused_as_stale_;
+    host_.log_info("the cloud refuses a " + what + ": a later holder of the duty is known there");
+}
+
+void MachineDuties::report() {
+    if (!holder_.fenced()) return;
+    const auto now = port_.now();
+    const auto& ledger = holder_.ledger();
+    if (const auto oldest = ledger.oldest_open();
+        oldest && now - oldest->since > kStuckAfter && now - told_stuck_at_ > kStuckAfter) {
+        told_stuck_at_ = now;
+        host_.log_info(duty::intent_key(oldest->slot) + " is open for " +
+                       std::to_string((now - oldest->since) / 1000) + " s: " + oldest->what);
+    }
+    if (now - reported_at_ < kReportEvery) return;
+    reported_at_ = now;
+    const auto& counters = ledger.counters();
+    host_.log_info("intents: " + std::to_string(ledger.open_count()) + " open, " +
+                   std::to_string(counters.written) + " written, " +
+                   std::to_string(counters.settled) + " settled, " +
+                   std::to_string(counters.inherited) + " inherited, " +
+                   std::to_string(counters.withdrawn) + " rentals withdrawn, " +
+                   std::to_string(counters.damaged) + " damaged; " +
+                   std::to_string(refused_as_stale_) + " requests refused as stale");
+}
+
+}  // namespace lichendrift::control
--- a/src/control/settings.h
+++ b/src/control/settings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "control/features.h"
 #include "core/types.h"
 
 namespace lichendrift::control {
@@ -61,6 +62,7 @@
     double mem_mb = 64;
     std::size_t max_connections = 1000;
     core::Guards guards;  // not in the file
+    Features features;    // of the operators' features file
     std::string policy;   // the operators' policy, checked; empty: the built-in one
 };
 
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -234,6 +234,9 @@
     // Machines to give back, and what came of it.
     std::vector<std::string> next_returns(std::size_t most, Millis now);
     void returned(const std::vector<std::string>& names, bool ok, Millis now);
+    // An earlier leader may have asked for the release of these: nothing is placed there.
+    void release_pending(const std::vector<std::string>& names, Millis now);
+    [[nodiscard]] bool holds_tasks(const std::string& name) const;
 
     // Which images are on which machines: only a hint for placing, kept over a change of leader.
     using ImageHints = std::vector<std::pair<std::string, std::vector<std::string>>>;
--- a/src/core/machines.cpp
+++ b/src/core/machines.cpp
@@ -219,6 +219,18 @@
     }
 }
 
+void Cluster::release_pending(const std::vector<std::string>& names, Millis now) {
+    for (const auto& name : names) {
+        Machine& machine = machines_[machine_for(name, "", "", false, now)];
+        if (machine.life != Machine::Life::Gone) machine.life = Machine::Life::Returning;
+    }
+}
+
+bool Cluster::holds_tasks(const std::string& name) const {
+    const auto it = machine_ids_.find(name);
+    return it != machine_ids_.end() && !machines_[it->second].allocations.empty();
+}
+
 // A zone that is cut off keeps its machines, their images and, if it is short, their tasks. Giving
 // them back one and all costs a boot and a fetch for each, and what is rented there instead is not
 // heard either.
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -164,7 +164,10 @@
     bool kept_until_loaded = true;      // what ends amid a take-over is kept until records are read
     bool record_of_open = true;         // no record becomes durable under a job that is over
     bool runs_on_fresh_copy = true;     // no run is sent on an old copy of what is open
-    bool cancels_known = true;  // no lease is renewed past a cancellation that may be unknown
+    bool cancels_known = true;      // no lease is renewed past a cancellation that may be unknown
+    bool intent_first = true;       // nothing is asked of the cloud before its intent is durable
+    bool intents_inherited = true;  // intents of earlier holders are read and finished
+    bool intent_kept = true;        // an intent to release stays until the cloud has confirmed
     // Off: a controller that keeps to what the version before standing services knows of formats
     // and messages, for the tests of upgrades.
     bool current_version = true;
--- a/src/wire/cbor_messages.cpp
+++ b/src/wire/cbor_messages.cpp
@@ -218,6 +218,11 @@
 std::string encode_version(std::uint64_t version) { return encode_number(version); }
 std::optional<std::uint64_t> decode_version(std::string_view bytes) { return decode_number(bytes); }
 
+std::string encode_features(std::uint64_t features) { return encode_number(features); }
+std::optional<std::uint64_t> decode_features(std::string_view bytes) {
+    return decode_number(bytes);
+}
+
 std::string encode_cancellation_query(std::uint64_t since) { return encode_number(since); }
 std::optional<std::uint64_t> decode_cancellation_query(std::string_view bytes) {
     return decode_number(bytes);
--- a/src/wire/cbor_messages.h
+++ b/src/wire/cbor_messages.h
@@ -62,6 +62,13 @@
 
 std::string encode_version(std::uint64_t version);
 std::optional<std::uint64_t> decode_version(std::string_view bytes);
+
+// What a controller has switched on, as bits. One that has nothing switched on, or is of a version
+// without features, does not know the question for it.
+enum class Feature : std::uint64_t { FencedDuties = 1 };
+std::string encode_features(std::uint64_t features);
+std::optional<std::uint64_t> decode_features(std::string_view bytes);
+
 std::string encode_passed_request(const PassedRequest& request);
 std::optional<PassedRequest> decode_passed_request(std::string_view bytes);
 std::string encode_passed_answer(const PassedAnswer& answer);
--- a/src/wire/json_cloud.cpp
+++ b/src/wire/json_cloud.cpp
@@ -66,18 +66,29 @@
     return text_of(b);
 }
 
-std::string rental_body(std::string_view request, std::string_view type, std::string_view zone,
-                        bool spot, std::uint32_t number) {
+namespace {
+
+// An additional field, for a cloud that refuses what a replaced controller asks for.
+void write_epoch(Writer& w, duty::Epoch epoch) {
+    if (epoch == 0) return;
+    key(w, "epoch");
+    w.Uint64(epoch);
+}
+
+}  // namespace
+
+std::string rental_body(const duty::RentalOrder& order, duty::Epoch epoch) {
     Buffer b;
     Writer w(b);
     w.StartObject();
-    field(w, "richiesta", request);
-    field(w, "modello", type);
-    field(w, "sede", zone);
+    field(w, "richiesta", order.request);
+    field(w, "modello", order.type);
+    field(w, "sede", order.zone);
     key(w, "inPrestito");
-    w.Bool(spot);
+    w.Bool(order.spot);
     key(w, "number");
-    w.Uint(number);
+    w.Uint(order.number);
+    write_epoch(w, epoch);
     w.EndObject();
     return text_of(b);
 }
@@ -95,7 +106,7 @@
     return out;
 }
 
-std::string return_body(const std::vector<std::string>& names) {
+std::string return_body(const std::vector<std::string>& names, duty::Epoch epoch) {
     Buffer b;
     Writer w(b);
     w.StartObject();
@@ -103,6 +114,7 @@
     w.StartArray();
     for (const auto& name : names) string(w, name);
     w.EndArray();
+    write_epoch(w, epoch);
     w.EndObject();
     return text_of(b);
 }
--- a/src/wire/json_messages.h
+++ b/src/wire/json_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/types.h"
+#include "duty/duty.h"
 
 // The JSON of users, workers, cloud and state service. The only place that knows the field names
 // of the protocol. A parser returns nothing when the message is malformed; fields that are not
@@ -32,10 +33,10 @@
 
 // Cloud.
 std::optional<std::vector<core::MachineType>> parse_types(std::string_view body);
-std::string rental_body(std::string_view request, std::string_view type, std::string_view zone,
-                        bool spot, std::uint32_t number);
+// `epoch`: of the duty under which it is asked, in an additional field; 0: left out.
+std::string rental_body(const duty::RentalOrder& order, duty::Epoch epoch);
 std::optional<std::vector<std::string>> parse_rented(std::string_view body);
-std::string return_body(const std::vector<std::string>& names);
+std::string return_body(const std::vector<std::string>& names, duty::Epoch epoch);
 struct Listing {
     std::vector<core::ListedMachine> machines;
     bool more = false;
@@ -95,6 +96,11 @@
 using ImageHints = std::vector<std::pair<std::string, std::vector<std::string>>>;
 std::string image_hints_value(const ImageHints& hints, std::size_t most_bytes);
 std::optional<ImageHints> parse_image_hints_value(std::string_view value);
+std::string duty_value(const duty::DutyRecord& record);
+std::optional<duty::DutyRecord> parse_duty_value(std::string_view value);
+std::string intent_value(const duty::Intent& intent);
+// Always something: of a damaged one, what can be made out.
+duty::StoredIntent parse_intent(const Item& item);
 std::string types_value(const std::vector<core::MachineType>& types);
 
 }  // namespace lichendrift::wire
