--- a/src/control/cleaner.cpp
+++ b/src/control/cleaner.cpp
@@ -45,6 +45,7 @@
 // ---- who holds the duty ----
 
 void Cleaner::look() {
+    if (stopped_) return;
     port_.after(kLookEvery + static_cast<Millis>(port_.random() % kLookSpread), [this] { look(); });
     if (claim_) {
         if (host_.leading() && !should_stand()) hand_over();
@@ -68,7 +69,7 @@
 
 void Cleaner::ask_lease() {
     store_.grant(kLease, [this](store::Outcome outcome, std::uint64_t grant, Millis sent) {
-        if (outcome == store::Outcome::Ok && !claim_) take_lease(grant, sent);
+        if (outcome == store::Outcome::Ok && !claim_ && !stopped_) take_lease(grant, sent);
     });
 }
 
@@ -77,7 +78,7 @@
     store_.txn(store::Lane::Read, {{key, 0}},
                {{key, wire::leader_value({settings_.member, 0}), grant}},
                [this, grant, sent](const store::TxnResult& result) {
-                   if (result.outcome == store::Outcome::Ok && !claim_) {
+                   if (result.outcome == store::Outcome::Ok && !claim_ && !stopped_) {
                        return won(grant, sent, result.revision);
                    }
                    store_.drop_grant(grant);
@@ -186,6 +187,11 @@
     store_.drop_grant(grant_);
 }
 
+void Cleaner::stop() {
+    stopped_ = true;
+    hand_over();
+}
+
 std::optional<duty::Permit> Cleaner::permit() {
     if (!claim_ || port_.read_clock() >= valid_until_) return std::nullopt;
     return claim_->permit(valid_until_);
@@ -219,47 +225,56 @@
                 [this, term = term_](store::Outcome outcome, const wire::ItemPage& read) {
                     if (!claim_ || term != term_) return;
                     if (outcome != store::Outcome::Ok) return next_page_soon();
-                    auto page = std::make_shared<Page>();
-                    for (const auto& item : read.items) {
-                        const auto job = job_of(item.key);
-                        const bool known = std::find(page->jobs.begin(), page->jobs.end(), job) !=
-                                           page->jobs.end();
-                        if (!known && page->jobs.size() >= kMostJobs) break;
-                        placements_since_ = item.key;
-                        // By this copy; a removal requires a terminal state besides.
-                        if (job_watcher_.open(job) != nullptr) continue;
-                        const auto record = wire::parse_placement_value(item.value);
-                        page->entries.push_back({item.key, item.rev, record.has_value(),
-                                                 record && record->placed.empty()});
-                        if (!known) page->jobs.push_back(job);
-                    }
-                    hints_due_ = !read.more && page->jobs.size() < kMostJobs;
-                    read_terminal_states(page, 0);
+                    // A job leaves `open/` and gets its terminal state in one transaction: one that
+                    // is not open by a copy from after this page has one, or never was a job.
+                    job_watcher_.barrier([this, term, read](bool fresh) {
+                        if (!claim_ || term != term_) return;
+                        if (!fresh) return next_page_soon();
+                        choose_placements(read);
+                    });
                 });
 }
 
+void Cleaner::choose_placements(const wire::ItemPage& read) {
+    auto page = std::make_shared<Page>();
+    bool whole = true;
+    for (const auto& item : read.items) {
+        const auto job = job_of(item.key);
+        if (job_watcher_.open(job) == nullptr) {
+            const bool known =
+                std::find(page->jobs.begin(), page->jobs.end(), job) != page->jobs.end();
+            if (!known && page->jobs.size() >= kMostJobs) {
+                whole = false;
+                break;
+            }
+            if (!known) page->jobs.push_back(job);
+            const auto record = wire::parse_placement_value(item.value);
+            page->entries.push_back(
+                {item.key, item.rev, record.has_value(), record && record->placed.empty()});
+        }
+        placements_since_ = item.key;
+    }
+    hints_due_ = whole && !read.more;
+    read_terminal_states(page, 0);
+}
+
 void Cleaner::read_terminal_states(const std::shared_ptr<Page>& page, std::size_t at) {
     if (at >= page->jobs.size()) {
         judge_placements(*page);
         return next_page_soon();
     }
-    const auto& job = page->jobs[at];
-    store_.get(store::Lane::Read, "over/" + job,
+    store_.get(store::Lane::Read, "over/" + page->jobs[at],
                [this, term = term_, page, at](store::Outcome outcome, const wire::Item& item) {
                    if (!claim_ || term != term_) return;
                    const auto& id = page->jobs[at];
                    auto& state = page->states[id];
-                   state = duty::JobState::OverMayBePlaced;
-                   if (outcome == store::Outcome::Missing) {
-                       // Accepted since the copy was read, or known to nobody.
-                       state = job_watcher_.open(id) != nullptr ? duty::JobState::Open
-                                                                : duty::JobState::Unknown;
-                   } else if (outcome == store::Outcome::Ok) {
+                   state = duty::JobState::Open;  // what is not known now is left alone
+                   if (outcome == store::Outcome::Missing) state = duty::JobState::Unknown;
+                   if (outcome == store::Outcome::Ok) {
                        const auto over = wire::parse_over_value(id, item.value);
-                       if (over && !over->job) state = duty::JobState::OverNothingPlaced;
+                       state = over && !over->job ? duty::JobState::OverNothingPlaced
+                                                  : duty::JobState::OverMayBePlaced;
                        page->proofs[id] = {item.key, item.rev};
-                   } else {
-                       state = duty::JobState::Open;  // not known now: it is left alone
                    }
                    read_terminal_states(page, at + 1);
                });
--- a/src/control/cleaner.h
+++ b/src/control/cleaner.h
@@ -31,6 +31,8 @@
     void start();
     // Gives the duty up at once, for another controller to take.
     void hand_over();
+    // The process ends: hands over, and takes nothing up again.
+    void stop();
     [[nodiscard]] bool holds() const { return claim_ && claim_->held(); }
     [[nodiscard]] std::uint64_t removed() const { return removed_; }
 
@@ -58,6 +60,7 @@
     void next_page_soon();
     void next_page();
     void read_placements();
+    void choose_placements(const wire::ItemPage& read);
     void read_terminal_states(const std::shared_ptr<Page>& page, std::size_t at);
     void judge_placements(const Page& page);
     void read_hints();
@@ -81,6 +84,7 @@
     bool hints_due_ = false;
     Millis round_begins_ = 0;
     std::uint64_t removed_ = 0;
+    bool stopped_ = false;
 };
 
 }  // namespace lichendrift::control
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -65,7 +65,7 @@
 void Controller::hand_over() {
     ending_ = true;
     ++election_;
-    cleaner_.hand_over();
+    cleaner_.stop();
     step_down("the process ends");
 }
 
--- /dev/null
+++ b/tests/duties_cleanup_test.cpp
@@ -0,0 +1,167 @@
+// The cleanup duty: what it removes, what it never removes, and who holds it.
+#include <gtest/gtest.h>
+
+#include "duty/cleanup.h"
+#include "simulation/messages.h"
+#include "simulation/world.h"
+
+namespace lichendrift::simulation {
+namespace {
+
+Options cleaning(std::uint64_t seed, control::CleanupMode mode = control::CleanupMode::Remove) {
+    auto options = calm(seed);
+    options.features.fenced_duties = true;
+    options.features.cleanup = mode;
+    options.features.cleanup_page_s = 2;
+    options.busy_ms = 120'000;
+    return options;
+}
+
+std::optional<std::size_t> cleaner(Simulation& world) {
+    for (std::size_t n = 0; n < world.node_count(); ++n) {
+        const auto* controller = world.controller(n);
+        if (controller != nullptr && controller->cleans_up()) return n;
+    }
+    return std::nullopt;
+}
+
+const char* const kPlaced = R"({"t":1,"n":2,"p":[[0,10000000000001,"host-000001",1]]})";
+const char* const kNotPlaced = R"({"t":1,"n":2,"p":[]})";
+const char* const kJob =
+    R"({"c":"any","t":"core","g":false,"p":1,"n":1,"u":[1,0,1],"i":"img","s":0.1,"o":false,)"
+    R"("a":false,"l":true,"e":[1,0,0],"w":0})";
+
+void put(Simulation& world, const std::string& key, const std::string& value) {
+    world.store()[key] = {value, 1};
+}
+
+// A leader that ended between a terminal state and the removal of the records leaves all of these.
+void put_leftovers(Simulation& world) {
+    put(world, "over/job-000001", R"({"s":"done"})");
+    put(world, "place/job-000001/0", kPlaced);
+    put(world, "place/job-000001/1000007", kPlaced);  // of a finer layout
+    put(world, "over/job-000002", std::string(R"({"s":"aborted","j":)") + kJob + "}");
+    put(world, "place/job-000002/0", kPlaced);
+    put(world, "over/job-000003", std::string(R"({"s":"aborted","j":)") + kJob + "}");
+    put(world, "place/job-000003/0", kNotPlaced);
+    put(world, "place/job-000004/0", kPlaced);  // of no job
+    put(world, "place/job-000005/0", R"({"t":"damaged"})");
+    put(world, "images/7", R"({"m":[["host-!","img"]]})");  // older than any machine
+}
+
+TEST(Cleanup, RemovesWhatIsProvenOfNoUseAndNothingElse) {
+    Simulation world(cleaning(1));
+    world.at(2000, [&] { put_leftovers(world); });
+    world.advance(60'000);
+    const auto& store = world.store();
+    EXPECT_FALSE(store.contains("place/job-000001/0"));
+    EXPECT_FALSE(store.contains("place/job-000001/1000007"));
+    EXPECT_FALSE(store.contains("place/job-000003/0"));
+    EXPECT_FALSE(store.contains("images/7"));
+    for (const auto* key : {"over/job-000001", "over/job-000002", "over/job-000003",
+                            "place/job-000002/0", "place/job-000004/0", "place/job-000005/0"}) {
+        EXPECT_TRUE(store.contains(key)) << key;
+    }
+    EXPECT_EQ(world.broken(), "");
+}
+
+TEST(Cleanup, ReportsWithoutRemoving) {
+    Simulation world(cleaning(2, control::CleanupMode::Report));
+    world.at(2000, [&] { put_leftovers(world); });
+    world.advance(60'000);
+    for (const auto* key : {"place/job-000001/0", "place/job-000003/0", "images/7"}) {
+        EXPECT_TRUE(world.store().contains(key)) << key;
+    }
+}
+
+TEST(Cleanup, RecordsOfJobsThatRunAreLeftAlone) {
+    for (std::uint64_t seed = 10; seed < 22; ++seed) {
+        auto options = cleaning(seed);
+        options.jobs = 30;
+        options.faults = true;
+        options.busy_ms = 70'000;
+        options.settle_ms = 260'000;
+        options.features.cleanup_page_s = 1;
+        Simulation world(options);
+        EXPECT_EQ(world.run(), "") << "seed " << seed;
+    }
+}
+
+TEST(Cleanup, IsHeldByAFollowerAndPassesOnWhenItEnds) {
+    for (std::uint64_t seed = 30; seed < 36; ++seed) {
+        Simulation world(cleaning(seed));
+        world.advance(30'000);
+        const auto first = cleaner(world);
+        ASSERT_TRUE(first);
+        EXPECT_NE(first, world.leader());
+        world.crash(*first, 100'000);
+        world.advance(80'000);
+        const auto second = cleaner(world);
+        ASSERT_TRUE(second);
+        EXPECT_NE(second, first);
+        EXPECT_EQ(parsed(world.store()["duty/cleanup"].first)["e"].GetUint64(), 2U);
+    }
+}
+
+TEST(Cleanup, HandsOverAtOnceWhenItsControllerEndsInGoodOrderOrLeads) {
+    Simulation world(cleaning(40));
+    world.advance(30'000);
+    const auto first = cleaner(world);
+    ASSERT_TRUE(first);
+    world.controller(*first)->hand_over();
+    world.advance(45'000);
+    const auto second = cleaner(world);
+    ASSERT_TRUE(second);
+    EXPECT_NE(second, first);
+    // The leader ends: now and then the one that cleans up comes to lead, and gives it up.
+    for (int round = 0; round < 6; ++round) {
+        world.crash(*world.leader(), 500);
+        world.advance(world.now() + 45'000);
+        const auto holder = cleaner(world);
+        ASSERT_TRUE(holder);
+        EXPECT_NE(holder, world.leader());
+    }
+}
+
+// Frozen in the middle of a page, with the removal held up, until another controller cleans up.
+TEST(Cleanup, ARemovalOfAReplacedHolderIsRefused) {
+    auto options = cleaning(50);
+    options.features.cleanup_page_s = 30;
+    Simulation world(options);
+    world.at(2000, [&] { put_leftovers(world); });
+    std::size_t removals = 0;
+    bool late_was_refused = false;
+    world.observe([&](std::size_t node, const net::HttpRequest& request) {
+        const bool removes = request.target == "/txn" &&
+                             request.body.find("\"remove\":\"place/") != std::string::npos;
+        if (!removes || ++removals > 1) return;
+        world.cut(node_name(node), "state", 45'000, true);
+        world.freeze(node, 44'000);
+        world.at(world.now() + 45'500, [&] {
+            late_was_refused = world.store().contains("place/job-000001/0") &&
+                               parsed(world.store()["duty/cleanup"].first)["e"].GetUint64() == 2;
+        });
+    });
+    world.advance(90'000);
+    EXPECT_TRUE(late_was_refused);
+    world.advance(160'000);
+    EXPECT_FALSE(world.store().contains("place/job-000001/0"));
+    EXPECT_EQ(world.broken(), "");
+}
+
+// The list of machines lags: what is newer than all that it shows may be missing from it.
+TEST(Cleanup, HintsOfMachinesThatMayBeThereAreKept) {
+    using duty::Verdict;
+    const std::set<std::string> listed{"host-000002", "host-000005"};
+    const auto judged = [&](std::vector<std::string> machines) {
+        return duty::judge(duty::HintEntry{"images/0", 1, true, std::move(machines)}, listed);
+    };
+    EXPECT_EQ(judged({"host-000001", "host-000003"}), Verdict::Remove);
+    EXPECT_EQ(judged({"host-000001", "host-000002"}), Verdict::Keep);
+    EXPECT_EQ(judged({"host-000001", "host-000009"}), Verdict::Keep);
+    EXPECT_EQ(duty::judge(duty::HintEntry{"images/0", 1, true, {"host-000001"}}, {}),
+              Verdict::Keep);
+}
+
+}  // namespace
+}  // namespace lichendrift::simulation
--- /dev/null
+++ b/tests/duties_conditions_test.cpp
@@ -0,0 +1,266 @@
+// Fenced duties under special conditions: an older version leads in between, limits fall, large
+// fleets, damaged records; and what fencing costs.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "simulation/messages.h"
+#include "simulation/world.h"
+
+namespace lichendrift::simulation {
+namespace {
+
+Options fenced(std::uint64_t seed, std::size_t machines) {
+    auto options = calm(seed);
+    options.features.fenced_duties = true;
+    options.machines = machines;
+    options.busy_ms = 100'000;
+    options.settle_ms = 200'000;
+    options.policy = "idle_keep = 2s\nspare_machines = 0\n";
+    return options;
+}
+
+std::size_t machines_left(Simulation& world) {
+    return static_cast<std::size_t>(std::count_if(world.workers().begin(), world.workers().end(),
+                                                  [](const auto& w) { return !w.second.gone; }));
+}
+
+std::size_t intents_stored(Simulation& world) {
+    std::size_t n = 0;
+    for (const auto& [key, entry] : world.store()) n += key.starts_with("intent/") ? 1 : 0;
+    return n;
+}
+
+class FencedRollout : public ::testing::TestWithParam<int> {};
+
+// The version in production leads before, between and after; nothing that either leaves may harm
+// the other. Leaders end again and again in the middle of what they do.
+TEST_P(FencedRollout, KeepsTheRulesThereAndBack) {
+    for (std::uint64_t i = 0; i < 8; ++i) {
+        const auto seed = 70'000 + static_cast<std::uint64_t>(GetParam()) * 100 + i;
+        auto options = fenced(seed, 5);
+        options.nodes = seed % 2 == 0 ? 3 : 5;
+        options.old_version = true;
+        options.jobs = 16;
+        options.busy_ms = 120'000;
+        Simulation world(options);
+        std::mt19937_64 rng(seed);
+        for (std::size_t n = 0; n < options.nodes; ++n) {
+            const auto turn = static_cast<Millis>(n) * 1500;
+            world.at(10'000 + turn, [&world, n] { world.upgrade(n, 900); });
+            world.at(50'000 + turn, [&world, n] { world.downgrade(n, 900); });
+            world.at(85'000 + turn, [&world, n] { world.upgrade(n, 900); });
+        }
+        for (Millis t = 14'000; t < 110'000; t += 5000 + static_cast<Millis>(rng() % 6000)) {
+            const auto span = 1000 + static_cast<Millis>(rng() % 7000);
+            world.at(t, [&world, span] {
+                const auto leader = world.leader();
+                if (!leader) return;
+                world.cut(node_name(*leader), "cloud", span + 4000, true);
+                world.freeze(*leader, span);
+            });
+        }
+        EXPECT_EQ(world.run(), "") << "seed " << seed;
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Days, FencedRollout, ::testing::Range(0, 4));
+
+// While one controller has not switched the feature on, nothing is stored for it.
+TEST(Fencing, BeginsOnceEveryControllerTakesPart) {
+    auto options = fenced(72'000, 4);
+    options.old_version = true;
+    Simulation world(options);
+    world.at(5000, [&] { world.upgrade(0, 500); });
+    world.at(7000, [&] { world.upgrade(1, 500); });
+    world.advance(75'000);
+    EXPECT_FALSE(world.store().contains("duty/provisioning"));
+    EXPECT_EQ(intents_stored(world), 0U);
+    world.upgrade(2, 500);
+    world.advance(90'000);
+    EXPECT_TRUE(world.store().contains("duty/provisioning"));
+    // From then on it holds, also while a controller is away.
+    world.crash(*world.leader(), 60'000);
+    world.advance(100'000);
+    EXPECT_EQ(parsed(world.store()["duty/provisioning"].first)["e"].GetUint64(), 2U);
+    EXPECT_EQ(world.broken(), "");
+}
+
+TEST(Fencing, WritesNothingWithoutTheFeature) {
+    auto options = fenced(72'100, 4);
+    options.features = {};
+    options.jobs = 8;
+    Simulation world(options);
+    EXPECT_EQ(world.run(), "");
+    for (const auto& [key, entry] : world.store()) {
+        EXPECT_FALSE(key.starts_with("duty/") || key.starts_with("intent/") ||
+                     key.starts_with("lease/"))
+            << key;
+    }
+}
+
+// Smaller limits come into force in the middle of hundreds of releases.
+TEST(Fencing, LimitsFallWithHundredsOfIntentsOpen) {
+    for (const Millis after : {0, 400, 1500, 4000}) {
+        auto options = fenced(73'000 + static_cast<std::uint64_t>(after), 400);
+        options.report_s = 4;
+        options.lease_s = 16;
+        options.next = {std::nullopt, 8.0, 1.0, 2};
+        Simulation world(options);
+        bool fell = false;
+        world.observe([&](std::size_t, const net::HttpRequest& request) {
+            if (fell || request.target != "/rentals/return") return;
+            fell = true;
+            world.cloud_outage(3000);
+            world.at(world.now() + after, [&] { world.limit_state(); });
+            world.at(world.now() + 6000, [&] { world.crash(*world.leader(), 1500); });
+        });
+        world.advance(200'000);
+        EXPECT_TRUE(fell);
+        EXPECT_EQ(world.broken(), "");
+        EXPECT_LE(machines_left(world), 1U);
+        EXPECT_LE(intents_stored(world), 1U);
+        EXPECT_LE(world.rejections(), 8U);
+    }
+}
+
+// A whole fleet is released within a minute, with a change of leader in the middle.
+TEST(Fencing, FourThousandMachinesAreReleasedWithinAMinute) {
+    auto options = fenced(74'000, 4000);
+    options.report_s = 15;
+    options.lease_s = 60;
+    options.cancel_s = 90;
+    Simulation world(options);
+    Millis first = -1;
+    Millis last = -1;
+    std::size_t intents = 0;
+    world.observe([&](std::size_t, const net::HttpRequest& request) {
+        intents +=
+            request.target == "/txn" && request.body.find("\"set\":\"intent/") != std::string::npos
+                ? 1
+                : 0;
+        if (request.target != "/rentals/return") return;
+        if (first < 0) {
+            first = world.now();
+            world.at(first + 8000, [&] { world.crash(*world.leader(), 2000); });
+        }
+        last = world.now();
+    });
+    world.advance(170'000);
+    EXPECT_EQ(world.broken(), "");
+    EXPECT_LE(machines_left(world), 1U);
+    EXPECT_GT(first, 0);
+    RecordProperty("ms", static_cast<int>(last - first));
+    RecordProperty("intents", static_cast<int>(intents));
+    EXPECT_LE(last - first, 60'000);
+    EXPECT_LE(intents, 70U);
+}
+
+// Neither acted on nor removed; the machine that a damaged intent names gets no work from anybody.
+TEST(Fencing, DamagedRecordsAreLeftInPlaceAndCounted) {
+    Simulation world(fenced(75'000, 4));
+    world.advance(5000);
+    world.store()["intent/7"] = {R"({"e":"x","n":1,"b":["host-000001",4]})", 1};
+    world.store()["intent/x"] = {R"({"e":1,"n":1,"b":["host-000002"]})", 1};
+    world.crash(*world.leader(), 1000);
+    world.jobs().push_back(plain(numbered(1), 4, 5, 9000));
+    world.advance(40'000);
+    EXPECT_TRUE(world.store().contains("intent/7"));
+    EXPECT_TRUE(world.store().contains("intent/x"));
+    EXPECT_TRUE(world.workers().at("host-000001").gone);
+    EXPECT_TRUE(world.workers().at("host-000002").gone);
+    EXPECT_TRUE(world.jobs()[0].done_told);
+    EXPECT_EQ(world.broken(), "");
+}
+
+// Without its epoch a duty is not done; jobs go on on the machines that are there.
+TEST(Fencing, NothingIsRentedUnderADamagedDutyRecordUntilItIsRepaired) {
+    Simulation world(fenced(75'100, 2));
+    world.advance(5000);
+    const auto good = world.store()["duty/provisioning"].first;
+    world.store()["duty/provisioning"].first = R"({"m":"n0","e":"seven"})";
+    world.crash(*world.leader(), 1000);
+    world.jobs().push_back(plain(numbered(1), 2, 5, 9000));
+    world.advance(90'000);
+    EXPECT_TRUE(world.jobs()[0].done_told);
+    EXPECT_EQ(machines_left(world), 2U);
+    EXPECT_EQ(world.releases().requests, 0U);
+    world.store()["duty/provisioning"].first = good;
+    world.advance(130'000);
+    EXPECT_EQ(machines_left(world), 0U);
+    EXPECT_EQ(world.broken(), "");
+}
+
+// ---- what it costs ----
+
+struct Cost {
+    double writes = 0;
+    double requests = 0;
+    std::size_t machines = 0;  // rented and released
+};
+
+Cost cost_of(bool with_fence, std::uint64_t seed) {
+    auto options = fenced(seed, 0);
+    options.features.fenced_duties = with_fence;
+    Simulation world(options);
+    world.set_capacity(100);
+    std::size_t number = 1;
+    for (Millis wave = 2000; wave < 90'000; wave += 22'000) {
+        for (std::size_t n = 0; n < 12; ++n) {
+            auto job = plain(numbered(number++), 1, 6, wave + static_cast<Millis>(n) * 150);
+            job.cpus = 8;
+            world.jobs().push_back(job);
+        }
+    }
+    EXPECT_EQ(world.run(), "");
+    return {static_cast<double>(world.writes()), static_cast<double>(world.state_requests()),
+            world.workers().size()};
+}
+
+// Changes of the state service are the scarcest thing.
+TEST(Fencing, CostsFewChangesForAMachine) {
+    double more_writes = 0;
+    double more_requests = 0;
+    double machines = 0;
+    for (std::uint64_t seed = 76'000; seed < 76'010; ++seed) {
+        const auto without = cost_of(false, seed);
+        const auto with = cost_of(true, seed);
+        more_writes += with.writes - without.writes;
+        more_requests += with.requests - without.requests;
+        machines += static_cast<double>(with.machines);
+    }
+    RecordProperty("changes_per_100_machines", static_cast<int>(100 * more_writes / machines));
+    RecordProperty("requests_per_100_machines", static_cast<int>(100 * more_requests / machines));
+    EXPECT_LT(more_writes / machines, 2.5);
+}
+
+// From the end of a holder to the first request of its successor, in leader leases of 3 s.
+TEST(Fencing, SuccessorActsWithinAFewLeases) {
+    std::vector<Millis> took;
+    for (std::uint64_t seed = 77'000; seed < 77'040; ++seed) {
+        Simulation world(fenced(seed, 6));
+        Millis ended = -1;
+        Millis acted = -1;
+        std::size_t holder = 0;
+        world.observe([&](std::size_t node, const net::HttpRequest& request) {
+            if (request.target != "/rentals/return") return;
+            if (ended < 0) {
+                ended = world.now();
+                holder = node;
+                world.cut(node_name(node), "cloud", 30'000, true);
+                world.at(world.now() + 1, [&world, node] { world.crash(node, 30'000); });
+            } else if (acted < 0 && node != holder) {
+                acted = world.now();
+            }
+        });
+        world.advance(120'000);
+        ASSERT_GE(acted, 0) << "seed " << seed;
+        took.push_back(acted - ended);
+    }
+    std::sort(took.begin(), took.end());
+    RecordProperty("median_ms", static_cast<int>(took[took.size() / 2]));
+    RecordProperty("maximum_ms", static_cast<int>(took.back()));
+    EXPECT_LT(took.back(), 3 * 3000);
+}
+
+}  // namespace
+}  // namespace lichendrift::simulation
