Withdraw rentals that waited through a trouble of ours, with and without the fence

Cause: without the fence, wishes that could not be asked for were kept for as long as the leader was not sure to lead, and asked for after it; before, they were dropped after six seconds. Change: what waited for 8 s without having been sent is withdrawn in both modes; a test of both.

--- a/src/duty/intents.cpp
+++ b/src/duty/intents.cpp
@@ -82,6 +82,7 @@
 }
 
 void IntentLedger::open_unfenced(Millis now) {
+    withdraw_old_rentals(now);
     if (!releases_.empty()) {
         Slot& slot = slots_[free_slot(false)];
         slot = {};
--- a/tests/duties_conditions_test.cpp
+++ b/tests/duties_conditions_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "duty/machine_holder.h"
 #include "simulation/messages.h"
 #include "simulation/world.h"
 
@@ -98,6 +99,41 @@
     }
 }
 
+// What was wanted before a trouble of ours is not rented after it: the next plan knows better.
+TEST(Fencing, RentalsNotAskedForAreWithdrawn) {
+    for (const bool fence : {true, false}) {
+        duty::MachineHolder holder({"n0", 1, {"leader", 1}, fence, true, {}});
+        duty::MachineHolder::Moment moment;
+        moment.sure = true;
+        moment.may_activate = true;
+        const auto answer = [&](const duty::MachineHolder::Action& action) {
+            using Holder = duty::MachineHolder;
+            if (const auto* read = std::get_if<Holder::ReadDuty>(&action)) {
+                holder.on_duty_read(read->duty, duty::ReadOutcome::Missing, {}, 0, moment.now);
+            } else if (std::holds_alternative<Holder::ReadIntents>(action)) {
+                holder.on_intents_read(true, {}, false, moment.now);
+            } else if (const auto* write = std::get_if<Holder::WriteDuty>(&action)) {
+                holder.on_duty_written(write->duty, {duty::WriteOutcome::Written, 5, {}},
+                                       moment.now);
+            }
+            return std::holds_alternative<Holder::AskRental>(action);
+        };
+        for (int i = 0; i < 4; ++i) {
+            for (const auto& action : holder.due(moment)) answer(action);
+        }
+        EXPECT_EQ(holder.fenced(), fence);
+        holder.want_rental({"r-1", "box", "a", true, 3}, moment.now);
+        EXPECT_TRUE(holder.ledger().renting());
+        moment.sure = false;
+        EXPECT_TRUE(holder.due(moment).empty());
+        moment.now += 20'000;
+        moment.sure = true;
+        for (const auto& action : holder.due(moment)) EXPECT_FALSE(answer(action));
+        EXPECT_FALSE(holder.ledger().renting());
+        EXPECT_EQ(holder.ledger().counters().withdrawn, 1U);
+    }
+}
+
 // Smaller limits come into force in the middle of hundreds of releases.
 TEST(Fencing, LimitsFallWithHundredsOfIntentsOpen) {
     for (const Millis after : {0, 400, 1500, 4000}) {
