Settings: a function for each table below [settings]

Cause: load_settings() read all tables in one function of 130 lines. Change: read_zones, read_teams, read_objectives, read_workers, read_state_and_cloud, read_resources; bodies unchanged.

--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -144,6 +144,112 @@
     next.txn_ops = ops;
 }
 
+// The tables below [settings].
+
+void read_zones(Reader& in, const toml::table& t, control::Settings& s) {
+    const auto* zones = t.get_as<toml::array>("zones");
+    if (zones == nullptr || zones->empty()) {
+        in.bad("settings", "zones", "expected a list of names");
+    } else {
+        for (const auto& zone : *zones) {
+            if (!zone.is_string()) {
+                in.bad("settings", "zones", "expected a list of names");
+                break;
+            }
+            s.zones.push_back(*zone.value<std::string>());
+        }
+    }
+}
+
+void read_teams(Reader& in, const toml::table& t, control::Settings& s) {
+    std::set<std::string> teams;
+    for (const auto& [team, at] : in.tables(t, "settings", "teams")) {
+        core::Team out;
+        double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
+        in.text(*team, at, "name", out.name);
+        auto amount = [&, entry = team, where = at](const char* key, double& value) {
+            if (entry->contains(key)) in.number(*entry, where, key, 0, value);
+        };
+        amount("cpus", cpus);
+        amount("cpus_max", cpus_max);
+        amount("gpus", gpus);
+        amount("gpus_max", gpus_max);
+        const auto within = [&, where = at](const char* key, double guarantee, double limit) {
+            if (limit > 0 && guarantee > limit) {
+                in.bad(where, key, "expected no more than the team's limit");
+            }
+        };
+        within("cpus", cpus, cpus_max);
+        within("gpus", gpus, gpus_max);
+        if (!teams.insert(out.name).second) {
+            in.bad(at, "name", "'" + out.name + "' is there twice");
+        }
+        const auto thousandths = [](double v) { return std::llround(v * 1000); };
+        out.guarantee = {thousandths(cpus), thousandths(gpus), 0};
+        out.limit = {thousandths(cpus_max), thousandths(gpus_max), 0};
+        s.teams.push_back(std::move(out));
+    }
+}
+
+void read_objectives(Reader& in, const toml::table& t, control::Settings& s) {
+    for (const auto& [o, at] : in.tables(t, "settings", "objectives")) {
+        control::Objective out;
+        in.text(*o, at, "kind", out.kind);
+        if (o->contains("class")) in.text(*o, at, "class", out.cls);
+        if (o->contains("within_s")) in.number(*o, at, "within_s", 0, out.within_s);
+        if (o->contains("share")) in.number(*o, at, "share", 0, out.share);
+        if (o->contains("times")) in.number(*o, at, "times", 0, out.times);
+        s.objectives.push_back(std::move(out));
+    }
+}
+
+void read_workers(Reader& in, const toml::table& t, control::Settings& s) {
+    if (const auto* w = in.table(t, "settings", "workers")) {
+        in.number(*w, "settings.workers", "report_s", 0.05, s.report_s);
+        in.number(*w, "settings.workers", "lease_s", 0.1, s.lease_s);
+        // A worker that reports less often than its lease lasts loses all its tasks each time.
+        if (s.lease_s >= 0.1 && s.report_s >= s.lease_s) {
+            in.bad("settings.workers", "lease_s", "expected more than report_s");
+        }
+        in.number(*w, "settings.workers", "gang_wait_s", 0.1, s.gang_wait_s);
+        in.number(*w, "settings.workers", "gang_peer_s", 0.1, s.gang_peer_s);
+        in.number(*w, "settings.workers", "cancel_s", 0.1, s.cancel_s);
+    }
+}
+
+void read_state_and_cloud(Reader& in, const toml::table& t, control::Settings& s) {
+    if (const auto* st = in.table(t, "settings", "state")) {
+        in.number(*st, "settings.state", "rps", 1, s.state_rps);
+        in.number(*st, "settings.state", "write_rps", 1, s.state_write_rps);
+        in.number(*st, "settings.state", "value_kb", 1, s.state_value_kb);
+        in.count(*st, "settings.state", "txn_ops", s.state_txn_ops);
+        if (s.state_txn_ops < 3) {
+            in.bad("settings.state", "txn_ops", "expected a whole number of at least 3");
+        }
+        if (st->contains("next")) read_next_limits(in, *st, s.state_next);
+    }
+    if (const auto* c = in.table(t, "settings", "cloud")) {
+        in.number(*c, "settings.cloud", "rps", 0.1, s.cloud_rps);
+        in.number(*c, "settings.cloud", "list_lag_s", 0, s.cloud_list_lag_s);
+    }
+}
+
+void read_resources(Reader& in, const toml::table& t, control::Settings& s) {
+    if (const auto* r = t.contains("resources") ? in.table(t, "settings", "resources") : nullptr) {
+        if (r->contains("core_share")) {
+            in.number(*r, "settings.resources", "core_share", 0, s.core_share);
+        }
+        if (r->contains("mem_mb")) in.number(*r, "settings.resources", "mem_mb", 1, s.mem_mb);
+        if (r->contains("max_connections")) {
+            in.count(*r, "settings.resources", "max_connections", s.max_connections);
+            if (s.max_connections < kLeastSockets) {
+                in.bad("settings.resources", "max_connections",
+                       "expected at least " + std::to_string(kLeastSockets));
+            }
+        }
+    }
+}
+
 }  // namespace
 
 std::variant<control::Settings, Problems> load_settings(const std::string& path) {
@@ -184,93 +290,12 @@
                        ", this controller and its peers");
         }
         if (t->contains("skew_ms")) in.number(*t, "settings", "skew_ms", 0, s.skew_ms);
-        const auto* zones = t->get_as<toml::array>("zones");
-        if (zones == nullptr || zones->empty()) {
-            in.bad("settings", "zones", "expected a list of names");
-        } else {
-            for (const auto& zone : *zones) {
-                if (!zone.is_string()) {
-                    in.bad("settings", "zones", "expected a list of names");
-                    break;
-                }
-                s.zones.push_back(*zone.value<std::string>());
-            }
-        }
-        std::set<std::string> teams;
-        for (const auto& [team, at] : in.tables(*t, "settings", "teams")) {
-            core::Team out;
-            double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
-            in.text(*team, at, "name", out.name);
-            auto amount = [&, entry = team, where = at](const char* key, double& value) {
-                if (entry->contains(key)) in.number(*entry, where, key, 0, value);
-            };
-            amount("cpus", cpus);
-            amount("cpus_max", cpus_max);
-            amount("gpus", gpus);
-            amount("gpus_max", gpus_max);
-            const auto within = [&, where = at](const char* key, double guarantee, double limit) {
-                if (limit > 0 && guarantee > limit) {
-                    in.bad(where, key, "expected no more than the team's limit");
-                }
-            };
-            within("cpus", cpus, cpus_max);
-            within("gpus", gpus, gpus_max);
-            if (!teams.insert(out.name).second) {
-                in.bad(at, "name", "'" + out.name + "' is there twice");
-            }
-            const auto thousandths = [](double v) { return std::llround(v * 1000); };
-            out.guarantee = {thousandths(cpus), thousandths(gpus), 0};
-            out.limit = {thousandths(cpus_max), thousandths(gpus_max), 0};
-            s.teams.push_back(std::move(out));
-        }
-        for (const auto& [o, at] : in.tables(*t, "settings", "objectives")) {
-            control::Objective out;
-            in.text(*o, at, "kind", out.kind);
-            if (o->contains("class")) in.text(*o, at, "class", out.cls);
-            if (o->contains("within_s")) in.number(*o, at, "within_s", 0, out.within_s);
-            if (o->contains("share")) in.number(*o, at, "share", 0, out.share);
-            if (o->contains("times")) in.number(*o, at, "times", 0, out.times);
-            s.objectives.push_back(std::move(out));
-        }
-        if (const auto* w = in.table(*t, "settings", "workers")) {
-            in.number(*w, "settings.workers", "report_s", 0.05, s.report_s);
-            in.number(*w, "settings.workers", "lease_s", 0.1, s.lease_s);
-            // A worker that reports less often than its lease lasts loses all its tasks each time.
-            if (s.lease_s >= 0.1 && s.report_s >= s.lease_s) {
-                in.bad("settings.workers", "lease_s", "expected more than report_s");
-            }
-            in.number(*w, "settings.workers", "gang_wait_s", 0.1, s.gang_wait_s);
-            in.number(*w, "settings.workers", "gang_peer_s", 0.1, s.gang_peer_s);
-            in.number(*w, "settings.workers", "cancel_s", 0.1, s.cancel_s);
-        }
-        if (const auto* st = in.table(*t, "settings", "state")) {
-            in.number(*st, "settings.state", "rps", 1, s.state_rps);
-            in.number(*st, "settings.state", "write_rps", 1, s.state_write_rps);
-            in.number(*st, "settings.state", "value_kb", 1, s.state_value_kb);
-            in.count(*st, "settings.state", "txn_ops", s.state_txn_ops);
-            if (s.state_txn_ops < 3) {
-                in.bad("settings.state", "txn_ops", "expected a whole number of at least 3");
-            }
-            if (st->contains("next")) read_next_limits(in, *st, s.state_next);
-        }
-        if (const auto* c = in.table(*t, "settings", "cloud")) {
-            in.number(*c, "settings.cloud", "rps", 0.1, s.cloud_rps);
-            in.number(*c, "settings.cloud", "list_lag_s", 0, s.cloud_list_lag_s);
-        }
-        if (const auto* r =
-                t->contains("resources") ? in.table(*t, "settings", "resources") : nullptr) {
-            if (r->contains("core_share")) {
-                in.number(*r, "settings.resources", "core_share", 0, s.core_share);
-            }
-            if (r->contains("mem_mb")) in.number(*r, "settings.resources", "mem_mb", 1, s.mem_mb);
-            if (r->contains("max_connections")) {
-                in.count(*r, "settings.resources", "max_connections", s.max_connections);
-                if (s.max_connections < kLeastSockets) {
-                    in.bad("settings.resources", "max_connections",
-                           "expected at least " + std::to_string(kLeastSockets));
-                }
-            }
-        }
+        read_zones(in, *t, s);
+        read_teams(in, *t, s);
+        read_objectives(in, *t, s);
+        read_workers(in, *t, s);
+        read_state_and_cloud(in, *t, s);
+        read_resources(in, *t, s);
     }
     if (!problems.empty()) return problems;
     return s;
