Ask the cloud only once the placement records are read

Cause: a successor finished an inherited release while it was still reading placement records; the tasks that these named on the released machine stayed there for ever, and their jobs waited. Ruled out: the stand-ins and the signals; the stored record named a machine that was gone. Change: MachineHolder makes no request before the leader knows all records.

--- a/src/control/leader_takeover.cpp
+++ b/src/control/leader_takeover.cpp
@@ -139,6 +139,7 @@
     places_.shrink_to_fit();
     load_hints();
     ready_ = true;
+    duties_->records_known();
     hints_at_ = now;
     ready_at_ = now;
     tick();
--- a/src/control/machine_duties.cpp
+++ b/src/control/machine_duties.cpp
@@ -56,6 +56,7 @@
     duty::MachineHolder::Moment moment;
     moment.now = port_.now();
     moment.sure = host_.may_start();
+    moment.records_known = records_known_;
     moment.not_after = host_.sure_until();
     moment.may_activate = host_.peers_fence_duties();
     moment.idle_writes = store_.has_room_for(store_.txn_ops());
--- a/src/control/machine_duties.h
+++ b/src/control/machine_duties.h
@@ -36,6 +36,8 @@
     // Does what is due; called whenever time has passed or something is wanted.
     void pump();
     void stop() { stopped_ = true; }
+    // All placement records are read; from now on the cloud is asked.
+    void records_known() { records_known_ = true; }
 
     void want_release(const std::string& machine, bool urgent);
     void want_rental(duty::RentalOrder order);
@@ -66,6 +68,7 @@
     duty::MachineHolder holder_;
     bool intents_kept_;  // off in the tests of this guard
     bool stopped_ = false;
+    bool records_known_ = false;
     bool pumping_ = false;
     bool pump_wanted_ = false;
     std::uint64_t refused_as_stale_ = 0;
--- a/src/duty/machine_holder.cpp
+++ b/src/duty/machine_holder.cpp
@@ -29,7 +29,7 @@
     }
     add_claim_actions(provisioning_, moment, out);
     add_claim_actions(reclaiming_, moment, out);
-    if (!moment.sure || !inherited_known()) return out;
+    if (!moment.sure || !moment.records_known || !inherited_known()) return out;
     const auto provisioning = provisioning_.permit(moment.not_after);
     const auto reclaiming = reclaiming_.permit(moment.not_after);
     // Between the two states one duty is fenced and the other is not yet.
--- a/src/duty/machine_holder.h
+++ b/src/duty/machine_holder.h
@@ -26,6 +26,9 @@
         Millis now = 0;
         bool sure = false;  // surely the leader by its own clock
         Millis not_after = 0;
+        // Placement records are read: a release that was confirmed before would leave the tasks
+        // that they name on a machine that is known to be gone.
+        bool records_known = false;
         bool may_activate = false;  // every controller is known to understand intents
         bool idle_writes = false;   // there is time for writes that nobody waits for
         IntentLedger::Limits limits;
--- a/tests/duties_conditions_test.cpp
+++ b/tests/duties_conditions_test.cpp
@@ -99,12 +99,45 @@
     }
 }
 
+// A successor finished an inherited release before it had read the placement records: their tasks
+// then stayed on a machine known to be gone, and their jobs waited for ever.
+TEST(Fencing, InheritedReleasesWaitForThePlacementRecords) {
+    for (std::uint64_t seed = 78'000; seed < 78'030; ++seed) {
+        auto options = fenced(seed, 4);
+        options.policy = "silent_patience = 2s\n";
+        Simulation world(options);
+        for (std::size_t n = 0; n < 4; ++n) {
+            auto job = plain(numbered(n), 1, 25, 2000);
+            job.cpus = 8;
+            world.jobs().push_back(job);
+        }
+        bool ended = false;
+        world.at(9000, [&] {
+            for (auto& [name, worker] : world.workers()) {
+                if (name == "host-000001") worker.hung_until = world.now() + 60'000;
+            }
+        });
+        world.observe([&](std::size_t node, const net::HttpRequest& request) {
+            const bool writes = request.target == "/txn" &&
+                                request.body.find("\"set\":\"intent/") != std::string::npos;
+            if (ended || !writes || world.now() < 9000) return;
+            ended = true;
+            world.slow_state(700, 12'000);
+            world.cut(node_name(node), "cloud", 3000, false);
+            world.at(world.now() + 900, [&world, node] { world.crash(node, 20'000); });
+        });
+        EXPECT_EQ(world.run(), "") << "seed " << seed;
+        EXPECT_TRUE(ended);
+    }
+}
+
 // What was wanted before a trouble of ours is not rented after it: the next plan knows better.
 TEST(Fencing, RentalsNotAskedForAreWithdrawn) {
     for (const bool fence : {true, false}) {
         duty::MachineHolder holder({"n0", 1, {"leader", 1}, fence, true, {}});
         duty::MachineHolder::Moment moment;
         moment.sure = true;
+        moment.records_known = true;
         moment.may_activate = true;
         const auto answer = [&](const duty::MachineHolder::Action& action) {
             using Holder = duty::MachineHolder;
--- a/tests/duties_loopback_test.cpp
+++ b/tests/duties_loopback_test.cpp
@@ -117,6 +117,12 @@
     };
     EXPECT_TRUE(region_.run_until([&] { return all_done() || !world.broken().empty(); },
                                   kPatience + 30'000));
+    for (const auto& job : world.jobs()) {
+        if (job.done_told) continue;
+        ADD_FAILURE() << job.id << " submitted " << job.submitted << " at " << job.submit_at
+                      << ", accepted " << job.accepted << ", tasks done " << job.done_tasks.size()
+                      << ", answered " << job.answered << ", now " << world.now();
+    }
     EXPECT_EQ(world.broken(), "");
     EXPECT_GT(provisioning_epoch(world), rounds_wanted());
     RecordProperty("released", static_cast<int>(world.releases().machines));
--- a/tests/duty_exploration_test.cpp
+++ b/tests/duty_exploration_test.cpp
@@ -192,6 +192,7 @@
         MachineHolder::Moment moment;
         moment.now = kActsAt;
         moment.sure = true;
+        moment.records_known = true;
         moment.may_activate = true;
         moment.idle_writes = true;
         auto actions = changed(s, n)->due(moment);
