--- a/review/standins/region.h
+++ b/review/standins/region.h
@@ -479,13 +479,22 @@
         return it == jobs_.end() ? std::nullopt : std::optional(it->second);
     }
 
+    // How many tasks of an attempt of a gang are on machines and have their image.
+    unsigned change_gathered(const std::string& id, std::uint64_t attempt, int change) {
+        std::scoped_lock lock(mutex_);
+        return gathered_[{id, attempt}] += static_cast<unsigned>(change);
+    }
+
   private:
     std::mutex mutex_;
     std::map<std::string, Job> jobs_;
+    std::map<std::pair<std::string, std::uint64_t>, unsigned> gathered_;
 };
 
 // ---- workers ----
 
+constexpr double kGangPeerS = 4;
+
 struct WorkerTimes {
     double report_s = 1.5, lease_s = 10, fetch_s = 0.5;
 };
@@ -494,6 +503,7 @@
   public:
     std::atomic<bool> fails_tasks{false};  // tasks that it starts from now on fail
     std::atomic<bool> hangs{false};
+    std::atomic<double> taken_at{-1};  // when the cloud takes the machine back; -1: no notice
 
     Worker(std::string name, std::string type, std::string zone, bool spot, WorkerTimes times,
            std::vector<std::string> nodes, std::vector<std::string> members, Jobs& jobs,
@@ -516,11 +526,13 @@
     void remove() {
         gone_ = true;
         std::scoped_lock lock(mutex_);
-        for (const auto& task : tasks_) {
-            if (task.state != "exited") record_.line("run  %s ends, %s is gone", task.name().c_str(), name_.c_str());
+        for (auto& task : tasks_) {
+            if (task.state != "exited") exit_task(task, "machine gone");
         }
         tasks_.clear();
     }
+    [[nodiscard]] const std::string& name() const { return name_; }
+    [[nodiscard]] bool spot() const { return spot_; }
     [[nodiscard]] bool up() const { return up_ && !gone_; }
     [[nodiscard]] const std::string& address() const { return server_.address(); }
     // The state of the newest attempt of a task here; empty: it is not here.
@@ -550,7 +562,8 @@
         std::uint64_t attempt = 0;
         std::string state, why;
         double ready_at = 0, ends_at = 0;
-        bool fails = false;
+        bool fails = false, gathered = false;
+        double alone_since = -1;
         Job description;
         [[nodiscard]] std::string name() const { return job + "/" + std::to_string(task); }
     };
@@ -561,7 +574,13 @@
             << ",\"modello\":" << json_text(type_) << ",\"sede\":" << json_text(zone_)
             << ",\"inPrestito\":" << (spot_ ? "true" : "false") << ",\"turno\":" << session_
             << ",\"protocollo\":" << ++sequence_ << ",\"delega\":" << token_
-            << ",\"preavvisoS\":null,\"prove\":[";
+            << ",\"preavvisoS\":";
+        if (taken_at < 0) {
+            out << "null";
+        } else {
+            out << std::max(0.0, taken_at - now_s());
+        }
+        out << ",\"prove\":[";
         for (std::size_t i = 0; i < tasks_.size(); ++i) {
             const auto& task = tasks_[i];
             out << (i == 0 ? "" : ",") << "{\"prova\":" << json_text(task.name())
@@ -573,6 +592,8 @@
         return out.str();
     }
     void exit_task(Task& task, const std::string& why) {
+        if (task.gathered) jobs_.change_gathered(task.job, task.attempt, -1);
+        task.gathered = false;
         task.state = "exited";
         task.why = why;
         changed_ = true;
@@ -625,8 +646,8 @@
         if (hangs) return;
         std::scoped_lock lock(mutex_);
         if (now_s() - acknowledged_at_ > times_.lease_s) {
-            for (const auto& task : tasks_) {
-                if (task.state != "exited") record_.line("run  %s is killed on %s, the lease is over", task.name().c_str(), name_.c_str());
+            for (auto& task : tasks_) {
+                if (task.state != "exited") exit_task(task, "lease over");
             }
             tasks_.clear();
             ++session_;
@@ -636,11 +657,24 @@
         for (auto& task : tasks_) {
             if (task.state == "pulling" && now_s() >= task.ready_at) {
                 images_.insert(task.description.image);
+                task.state = "gathering";
+                task.gathered = true;
+                jobs_.change_gathered(task.job, task.attempt, 1);
+                changed_ = true;
+            }
+            const bool gang = task.description.kind == "ensemble";
+            const bool complete = !gang || (task.gathered && jobs_.change_gathered(task.job, task.attempt, 0) == task.description.tasks);
+            if (task.state == "gathering" && complete) {
                 task.state = "running";
                 task.ends_at = now_s() + (task.fails ? 1 : task.description.run_s);
                 changed_ = true;
                 record_.line("run  %s starts on %s", task.name().c_str(), name_.c_str());
             }
+            if (task.state == "running" && complete) task.alone_since = -1;
+            if (task.state == "running" && !complete && task.ends_at > now_s()) {
+                if (task.alone_since < 0) task.alone_since = now_s();
+                if (now_s() - task.alone_since > kGangPeerS) exit_task(task, "peers");
+            }
             const bool ends = task.fails || task.description.kind != "service";
             if (task.state == "running" && ends && now_s() >= task.ends_at) {
                 exit_task(task, task.fails ? "error" : "done");
@@ -741,6 +775,24 @@
           record_(record),
           server_([this](const Request& request) { return std::optional(handle(request)); }) {}
     [[nodiscard]] const std::string& address() const { return server_.address(); }
+    // Adds a machine that was rented long ago and is up.
+    Worker& add_machine(const std::string& type, const std::string& zone, bool spot) {
+        std::scoped_lock lock(mutex_);
+        char id[32];
+        std::snprintf(id, sizeof id, "host-%06d", ++last_machine_);
+        auto& machine = machines_[id];
+        machine = {type, zone, spot, now_s() - 600, now_s() - 540, -1, make_(id, type, zone, spot)};
+        machine.worker->boot();
+        return *machine.worker;
+    }
+    // Takes a machine back.
+    void take(const std::string& name) {
+        std::scoped_lock lock(mutex_);
+        auto& machine = machines_.at(name);
+        if (machine.gone_at >= 0) return;
+        machine.gone_at = now_s();
+        machine.worker->remove();
+    }
     // The machines that exist.
     std::vector<Worker*> machines() {
         std::scoped_lock lock(mutex_);
@@ -924,6 +976,7 @@
     std::string teams;  // TOML
     double report_s, lease_s, cancel_s, state_rps, write_rps, value_kb, cloud_rps, list_lag_s;
     int operations, max_connections;
+    double core_share, memory_mb;
     std::string next_limits;  // TOML; may be empty
     std::vector<Flavor> flavors;
 };
@@ -966,8 +1019,8 @@
                 << site.write_rps << "\nvalue_kb = " << site.value_kb << "\ntxn_ops = "
                 << site.operations << "\n" << site.next_limits << "[settings.cloud]\nrps = "
                 << site.cloud_rps << "\nlist_lag_s = " << site.list_lag_s
-                << "\n[settings.resources]\ncore_share = 0.24\nmem_mb = 136.0\nmax_connections = "
-                << site.max_connections << "\n";
+                << "\n[settings.resources]\ncore_share = " << site.core_share << "\nmem_mb = "
+                << site.memory_mb << "\nmax_connections = " << site.max_connections << "\n";
         }
         pids_.resize(count, -1);
     }
@@ -1022,11 +1075,19 @@
     }
     // Whether a process has ended by itself.
     bool any_ended() {
-        for (auto& pid : pids_) {
-            if (pid > 0 && ::waitpid(pid, nullptr, WNOHANG) == pid) return pid = -1, true;
+        for (std::size_t n = 0; n < pids_.size(); ++n) {
+            int status = 0;
+            if (pids_[n] <= 0 || ::waitpid(pids_[n], &status, WNOHANG) != pids_[n]) continue;
+            pids_[n] = -1;
+            last_end_ = members_[n] + (WIFSIGNALED(status)
+                                           ? " by signal " + std::to_string(WTERMSIG(status))
+                                           : " with status " + std::to_string(WEXITSTATUS(status)));
+            return true;
         }
         return false;
     }
+    [[nodiscard]] const std::string& last_end() const { return last_end_; }
+    [[nodiscard]] const std::vector<pid_t>& pids() const { return pids_; }
     bool wait_healthy(double timeout_s) {
         return wait_until(
             [this] {
@@ -1062,6 +1123,7 @@
     std::filesystem::path directory_;
     std::vector<std::string> command_, members_, addresses_;
     std::vector<pid_t> pids_;
+    std::string last_end_;
 };
 
 // ---- a whole region ----
@@ -1155,7 +1217,8 @@
         "[[settings.teams]]\nname = \"banca-quesiti\"\ngpus = 24.0\ngpus_max = 88.0\n";
     site.report_s = 1.5, site.lease_s = 10, site.cancel_s = 40;
     site.state_rps = 150, site.write_rps = 50, site.value_kb = 8, site.operations = 12;
-    site.cloud_rps = 6, site.list_lag_s = 4, site.max_connections = 1000;
+    site.cloud_rps = 6, site.list_lag_s = 4;
+    site.max_connections = 1000, site.core_share = 0.08, site.memory_mb = 56;
     site.flavors = {{"nodo-aula", 24, 2, 96, 2, 5.12, 1.15, site.zones},
                     {"nodo-centrale", 48, 4, 288, 2, 14.71, 3.23, site.zones}};
     return site;
@@ -1167,7 +1230,8 @@
     site.teams = "[[settings.teams]]\nname = \"path-team\"\n";
     site.report_s = 3, site.lease_s = 29, site.cancel_s = 59;
     site.state_rps = 90, site.write_rps = 35, site.value_kb = 8, site.operations = 8;
-    site.cloud_rps = 5, site.list_lag_s = 3, site.max_connections = 3000;
+    site.cloud_rps = 5, site.list_lag_s = 3;
+    site.max_connections = 3000, site.core_share = 0.24, site.memory_mb = 136;
     site.flavors = {{"vargkhand-box", 24, 2, 192, 2, 6.5, 2.25, site.zones}};
     return site;
 }
