--- a/review/standins/region.h
+++ b/review/standins/region.h
@@ -164,11 +164,13 @@
     ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
+// A free address for another process that sets SO_REUSEADDR: this one keeps it bound, but does not
+// listen there, so that nobody else gets it.
 inline std::string free_address() {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const auto address = bind_free(fd);
-    ::close(fd);
-    return address;
+    const int one = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    return bind_free(fd);
 }
 
 // Serves until the process ends. A handler that returns nothing closes the connection unanswered.
