Log reads that find no terminal state, with the age of what they answer

Five causes were thought of; the logs could not tell them apart: (1) the late question joins a read of over/ID in flight; (2) the refresh of the copy that it waits for was carried out before it came; (3) the copy knows the end and the answer does not look at it; (4) the refresh loses the end; (5) another controller answers from what it knew. Change: event terminal_state_not_found at debug level, with the number of requests that the read answers and the ages of the read, of the last request and of the copy, and whether a terminal state is cached. The test of the levels takes in the new event; it checks what it did.

--- a/src/control/job_watcher.cpp
+++ b/src/control/job_watcher.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/state_keys.h"
+#include "events/format.h"
 #include "wire/stored_values.h"
 
 namespace lichendrift::control {
@@ -260,9 +261,12 @@
 // ---- terminal states of jobs that are not open ----
 
 void JobWatcher::read_terminal_state(const std::string& job_id, OnTerminalState done) {
-    auto [entry, first] = lookups_.try_emplace(job_id);
-    entry->second.push_back(std::move(done));
+    auto [entry, first] = terminal_state_reads_.try_emplace(job_id);
+    auto& read = entry->second;
+    read.callbacks.push_back(std::move(done));
+    read.last_request_at = runtime_.now();
     if (!first) return;
+    read.sent_at = runtime_.now();
     store_.get(store::RequestPriority::Read, keys::terminal_state(job_id),
                [this, job_id](store::Outcome outcome, const wire::Item& item) {
                    tl::expected<TerminalState, LookupError> result = tl::unexpected(
@@ -275,9 +279,22 @@
                        result = stored->aborted ? TerminalState::Aborted : TerminalState::Done;
                        record_terminal_state(job_id, *result, item.revision);
                    }
-                   const auto lookup = lookups_.extract(job_id);
-                   for (const auto& callback : lookup.mapped()) callback(result);
+                   const auto ended = terminal_state_reads_.extract(job_id);
+                   if (outcome == store::Outcome::Missing) log_not_found(job_id, ended.mapped());
+                   for (const auto& callback : ended.mapped().callbacks) callback(result);
                });
 }
 
+void JobWatcher::log_not_found(const std::string& job_id, const TerminalStateRead& read) const {
+    const auto now = runtime_.now();
+    events::TerminalStateNotFound event;
+    event.job = job_id;
+    event.requests = read.callbacks.size();
+    event.read_age_ms = now - read.sent_at;
+    event.last_request_age_ms = now - read.last_request_at;
+    event.copy_age_ms = now - read_at_;
+    event.cached = terminal_states_.contains(job_id);
+    events::log(event);
+}
+
 }  // namespace lichendrift::control
--- a/src/control/job_watcher.h
+++ b/src/control/job_watcher.h
@@ -123,6 +123,12 @@
         std::map<std::string, OpenJob> jobs;
         std::uint64_t revision = 0;  // of the first page; 0: no page read yet
     };
+    // A read of a job's terminal state that is in flight, with the callbacks that wait for it.
+    struct TerminalStateRead {
+        std::vector<OnTerminalState> callbacks;
+        Millis sent_at = 0;
+        Millis last_request_at = 0;
+    };
     void load();
     void load_page(const std::string& after_key, PartialLoad so_far);
     void on_load_page(const wire::ItemPage& page, PartialLoad so_far);
@@ -140,6 +146,7 @@
     void end_job(const std::string& job_id, TerminalState state);
     bool record_terminal_state(const std::string& job_id, TerminalState state,
                                std::uint64_t revision);
+    void log_not_found(const std::string& job_id, const TerminalStateRead& read) const;
 
     net::Runtime& runtime_;
     store::StoreClient& store_;
@@ -163,7 +170,8 @@
     std::optional<Listener> listener_;
     std::uint64_t watch_generation_ = 0;  // to ignore answers to earlier watches
 
-    std::unordered_map<std::string, std::vector<OnTerminalState>> lookups_;  // in flight, by job id
+    std::unordered_map<std::string, TerminalStateRead>
+        terminal_state_reads_;  // in flight, by job id
 };
 
 }  // namespace lichendrift::control
--- a/src/events/event.h
+++ b/src/events/event.h
@@ -154,6 +154,19 @@
     std::string body;  ///< the beginning of the request body
 };
 
+/// The state service had no terminal state of a job that is not open, so the users' requests that
+/// waited for this read were told that there is no such job. The ages show whether the read and the
+/// copy of the open jobs are newer than the requests. Logged at debug level.
+struct TerminalStateNotFound {
+    static constexpr std::string_view kName = "terminal_state_not_found";  ///< name in the log
+    std::string job;                                                       ///< id of the job
+    std::size_t requests = 0;              ///< number of requests that waited for the read
+    std::int64_t read_age_ms = 0;          ///< time since the read was sent
+    std::int64_t last_request_age_ms = 0;  ///< time since the last of the requests began to wait
+    std::int64_t copy_age_ms = 0;          ///< time since the newest read of the open jobs was sent
+    bool cached = false;                   ///< whether a terminal state is cached nevertheless
+};
+
 // ---- machines ----
 
 /// Why a machine is released.
@@ -329,10 +342,10 @@
                  AllControllersFenceDuties, MalformedMessages, LeaderObserved, LeaderElected,
                  FailoverComplete, LeaderLeaseRecovered, LeaderSteppedDown, LeaseRenewalsSuspended,
                  LeaseRenewalsResumed, JobOpened, JobPlaced, TaskPreempted, JobCompleted,
-                 RequestsRefused, SubmissionMalformed, MachineReleaseStarted, MachineDrainStarted,
-                 MachineDrainCancelled, MachinesReleased, ReleasesInherited, ProvisionRequested,
-                 ProvisionCompleted, RecordUnreadable, StateLimitsLowered, DutyAcquired, DutyEnded,
-                 StaleEpochRefused, IntentOverdue, IntentsReport, CleanupSuspicious,
-                 CleanupWouldRemove, CleanupRemoved, PolicyValueRejected>;
+                 RequestsRefused, SubmissionMalformed, TerminalStateNotFound, MachineReleaseStarted,
+                 MachineDrainStarted, MachineDrainCancelled, MachinesReleased, ReleasesInherited,
+                 ProvisionRequested, ProvisionCompleted, RecordUnreadable, StateLimitsLowered,
+                 DutyAcquired, DutyEnded, StaleEpochRefused, IntentOverdue, IntentsReport,
+                 CleanupSuspicious, CleanupWouldRemove, CleanupRemoved, PolicyValueRejected>;
 
 }  // namespace lichendrift::events
--- a/src/events/format.cpp
+++ b/src/events/format.cpp
@@ -190,6 +190,15 @@
     line.field("reason", event.reason).field("body", event.body);
 }
 
+void add_fields(Line& line, const TerminalStateNotFound& event) {
+    line.field("job", event.job)
+        .field("requests", event.requests)
+        .field("read_age_ms", event.read_age_ms)
+        .field("last_request_age_ms", event.last_request_age_ms)
+        .field("copy_age_ms", event.copy_age_ms)
+        .field("cached", event.cached);
+}
+
 void add_fields(Line& line, const MachineReleaseStarted& event) {
     line.field("machine", event.machine)
         .field("reason", name_of(event.reason))
@@ -292,7 +301,9 @@
 }  // namespace
 
 Level level_of(const Event& event) {
-    return std::holds_alternative<SubmissionMalformed>(event) ? Level::Debug : Level::Info;
+    const bool is_debug = std::holds_alternative<SubmissionMalformed>(event) ||
+                          std::holds_alternative<TerminalStateNotFound>(event);
+    return is_debug ? Level::Debug : Level::Info;
 }
 
 std::string format(const Event& event) {
--- a/tests/events_test.cpp
+++ b/tests/events_test.cpp
@@ -11,6 +11,9 @@
     EXPECT_EQ(format(DutyAcquired{"cleanup", 7}), "event=duty_acquired duty=cleanup epoch=7");
     EXPECT_EQ(format(ProvisionRequested{"r-1-1", 3, "g8", "a", true}),
               "event=provision_requested request=r-1-1 count=3 type=g8 zone=a spot=true");
+    EXPECT_EQ(format(TerminalStateNotFound{"job-000001", 2, 400, 340, 280, true}),
+              "event=terminal_state_not_found job=job-000001 requests=2 read_age_ms=400 "
+              "last_request_age_ms=340 copy_age_ms=280 cached=true");
     EXPECT_EQ(format(LeaseMarginTooSmall{10, 12.5}),
               "event=lease_margin_too_small lease_s=10 cancel_s=12.5");
 }
@@ -45,8 +48,9 @@
               "score_percent=0 rejected_zones=a,b tasks=2 machines=host-1,host-2");
 }
 
-TEST(Events, OnlyMalformedSubmissionsAreLoggedAtDebugLevel) {
+TEST(Events, EventsOfSingleRequestsAreLoggedAtDebugLevel) {
     EXPECT_EQ(level_of(SubmissionMalformed{"no id", "{}"}), Level::Debug);
+    EXPECT_EQ(level_of(TerminalStateNotFound{}), Level::Debug);
     EXPECT_EQ(level_of(RequestsRefused{1, "x"}), Level::Info);
 }
 
