Answer no question from a read that was carried out before it came

It takes two controllers that cannot reach each other and a slow answer. Cause: a request joined a read of over/ID in flight, though the state service may have carried it out before the request came, and nobody looked at the state that the refresh in between had brought. Change: a cached state is the answer; a state that becomes known ends the wait for a read of it; a read is joined only if the copy was not loaded anew since it was sent. Why this works: after the request's refresh the copy has passed through all changes since the read was sent, so either the state is known or "not found" still holds at the refresh's revision. A load brings no terminal states, so reads sent before it are not joined after it. The event loses its field "cached", which is now always false. Tests: the simulation can hold back answers of the state service.

--- a/src/control/job_watcher.h
+++ b/src/control/job_watcher.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <tl/expected.hpp>
@@ -38,6 +39,12 @@
 /// One transaction removes a job's "open/" key and writes its "over/" key. An accepted job that is
 /// missing from a fresh copy therefore has a terminal state.
 ///
+/// A read of a terminal state that is in flight may have been carried out before a later request
+/// came. The request may share it nevertheless: a refresh after the request has brought all
+/// terminal states that were stored since the read was sent, unless the copy was loaded anew in
+/// between. So the request is answered with the state that the refresh has brought, or the read's
+/// "not found" still holds at the revision of the refreshed copy.
+///
 /// Loop thread only; callbacks run on that thread too.
 class JobWatcher {
   public:
@@ -107,8 +114,10 @@
     /// The newest known cancellations, for peers that cannot read the state service.
     [[nodiscard]] const CancellationLog& cancellations() const { return cancellations_; }
 
-    /// Reads the terminal state of a job that is not open from the state service. Concurrent reads
-    /// for the same job share one request.
+    /// Gets the terminal state of a job that is not open in a copy that was refreshed for this
+    /// request. A cached state is passed to `done` inside this call; otherwise it is read from the
+    /// state service. Concurrent reads for the same job share one request, and end as soon as the
+    /// state becomes known in another way.
     void read_terminal_state(const std::string& job_id, OnTerminalState done);
 
     /// Follows changes continuously by long polling, in addition to refresh(), and reports them to
@@ -128,6 +137,7 @@
         std::vector<OnTerminalState> callbacks;
         Millis sent_at = 0;
         Millis last_request_at = 0;
+        std::uint64_t loads = 0;  // loads of the copy that were complete when it was sent
     };
     void load();
     void load_page(const std::string& after_key, PartialLoad so_far);
@@ -146,6 +156,10 @@
     void end_job(const std::string& job_id, TerminalState state);
     bool record_terminal_state(const std::string& job_id, TerminalState state,
                                std::uint64_t revision);
+    std::shared_ptr<TerminalStateRead> send_terminal_state_read(const std::string& job_id);
+    void on_terminal_state_read(const std::string& job_id, TerminalStateRead& read,
+                                store::Outcome outcome, const wire::Item& item);
+    void end_terminal_state_read(const std::string& job_id, TerminalState state);
     void log_not_found(const std::string& job_id, const TerminalStateRead& read) const;
 
     net::Runtime& runtime_;
@@ -154,6 +168,7 @@
     bool loaded_ = false;
     bool ever_loaded_ = false;
     bool loading_ = false;
+    std::uint64_t loads_ = 0;  // completed since the process started
     Millis load_sent_at_ = 0;
     std::uint64_t revision_ = 0;
     Millis read_at_ = 0;
@@ -170,8 +185,8 @@
     std::optional<Listener> listener_;
     std::uint64_t watch_generation_ = 0;  // to ignore answers to earlier watches
 
-    std::unordered_map<std::string, TerminalStateRead>
-        terminal_state_reads_;  // in flight, by job id
+    // The newest read in flight for each job.
+    std::unordered_map<std::string, std::shared_ptr<TerminalStateRead>> terminal_state_reads_;
 };
 
 }  // namespace lichendrift::control
--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -187,15 +187,17 @@
 void UserApi::answer_from_refreshed_copy(const std::string& job_id, net::Respond respond,
                                          OnUnknownJob on_unknown) {
     if (job_watcher_.find_open(job_id) != nullptr) return answer_open_job(job_id, respond);
-    job_watcher_.read_terminal_state(job_id,
-                                     [this, job_id, respond = std::move(respond),
-                                      on_unknown = std::move(on_unknown)](const auto& state) {
-                                         if (state)
-                                             return respond_terminal(respond, job_id, *state);
-                                         if (state.error() == LookupError::NotFound)
-                                             return on_unknown(respond);
-                                         refuse(respond, RefusalReason::StateServiceUnavailable);
-                                     });
+    job_watcher_.read_terminal_state(
+        job_id, [this, job_id, respond = std::move(respond),
+                 on_unknown = std::move(on_unknown)](const auto& state) {
+            if (state) return respond_terminal(respond, job_id, *state);
+            if (state.error() == LookupError::Unavailable) {
+                return refuse(respond, RefusalReason::StateServiceUnavailable);
+            }
+            // The job may have been accepted while the read was in flight.
+            if (job_watcher_.find_open(job_id) != nullptr) return answer_open_job(job_id, respond);
+            on_unknown(respond);
+        });
 }
 
 void UserApi::answer_open_job(const std::string& job_id, const net::Respond& respond) const {
--- a/src/events/event.h
+++ b/src/events/event.h
@@ -164,7 +164,6 @@
     std::int64_t read_age_ms = 0;          ///< time since the read was sent
     std::int64_t last_request_age_ms = 0;  ///< time since the last of the requests began to wait
     std::int64_t copy_age_ms = 0;          ///< time since the newest read of the open jobs was sent
-    bool cached = false;                   ///< whether a terminal state is cached nevertheless
 };
 
 // ---- machines ----
--- a/src/events/format.cpp
+++ b/src/events/format.cpp
@@ -195,8 +195,7 @@
         .field("requests", event.requests)
         .field("read_age_ms", event.read_age_ms)
         .field("last_request_age_ms", event.last_request_age_ms)
-        .field("copy_age_ms", event.copy_age_ms)
-        .field("cached", event.cached);
+        .field("copy_age_ms", event.copy_age_ms);
 }
 
 void add_fields(Line& line, const MachineReleaseStarted& event) {
--- /dev/null
+++ b/tests/answer_freshness_test.cpp
@@ -0,0 +1,159 @@
+// Users' requests that meet an operation in flight on the same controller. The state service may
+// have carried out that operation before the request came, so its result alone must not answer the
+// request.
+#include <gtest/gtest.h>
+
+#include "simulation/messages.h"
+#include "simulation/simulation.h"
+
+namespace lichendrift::simulation {
+namespace {
+
+const std::string kJobId = "job-000001";
+const std::string kJobTarget = "/v2/runs/" + kJobId;
+const std::string kTerminalStateTarget = "/store/over/" + kJobId;
+
+std::string submission_body(double cpus = 1) {
+    return R"({"nameId":")" + kJobId +
+           R"(","classe":"c","ufficio":"core","genere":"sweep","urgenza":"normal","prove":2,)"
+           R"("cpus":)" +
+           std::to_string(cpus) +
+           R"(,"gpus":0.0,"memGb":1.0,"fascicolo":"i","imageGb":1.0,"oneZone":false,)"
+           R"("apart":false,"inPrestito":true,"durataS":60.0,"salvataggioOgniS":0.0,)"
+           R"("salvataggioS":0.0})";
+}
+
+std::string state_in(const net::HttpReply& reply) {
+    if (reply.status != 200 && reply.status != 201) return std::to_string(reply.status);
+    return parsed(reply.body)["stato"].GetString();
+}
+
+// Two controllers cannot reach each other, so one does not learn of a cancellation that the other
+// confirms before it reads the state service.
+class AnswerFreshness : public ::testing::Test {
+  protected:
+    static constexpr Millis kAnswerDelayMs = 400;
+
+    AnswerFreshness() : simulation_(fault_free_options(41)) {
+        simulation_.advance(4000);
+        const auto leader = simulation_.leader();
+        if (!leader) throw std::runtime_error("no leader");
+        asked_ = *leader == 0 ? 1 : 0;
+        other_ = 1 - asked_;
+        simulation_.partition(node_name(asked_), node_name(other_), 600'000, false);
+        simulation_.observe([this](std::size_t node, const net::HttpRequest& request) {
+            if (node == asked_ && request.target == kTerminalStateTarget) ++terminal_state_reads_;
+        });
+    }
+    // The state service carries out the next such request of the asked controller at once and
+    // answers it kAnswerDelayMs later. `what`: the request's target or a part of its body.
+    void delay_next_answer(const std::string& what) {
+        simulation_.delay_state_answers(
+            [this, what, delayed = false](const std::string& from,
+                                          const net::HttpRequest& request) mutable -> Millis {
+                const bool matches =
+                    request.target == what || request.body.find(what) != std::string::npos;
+                if (delayed || from != node_name(asked_) || !matches) return 0;
+                delayed = true;
+                return kAnswerDelayMs;
+            });
+    }
+    void pause(Millis ms) { simulation_.advance(simulation_.now() + ms); }
+    net::HttpReply submit(std::size_t node, double cpus = 1) {
+        return simulation_.send_and_wait(node, {"POST", "/v2/runs", submission_body(cpus)});
+    }
+    net::HttpReply poll(std::size_t node) {
+        return simulation_.send_and_wait(node, {"GET", kJobTarget, ""});
+    }
+    net::HttpReply cancel(std::size_t node) {
+        return simulation_.send_and_wait(node, {"POST", kJobTarget + "/cancel", ""});
+    }
+    // The asked controller has a read of the job's terminal state in flight that was carried out
+    // before the job was submitted, and another controller has confirmed the job's cancellation.
+    void cancel_elsewhere_during_a_read() {
+        delay_next_answer(kTerminalStateTarget);
+        simulation_.send(asked_, {"GET", kJobTarget, ""},
+                         [this](const net::HttpReply& reply) { early_ = reply; });
+        pause(60);
+        ASSERT_EQ(terminal_state_reads_, 1U);
+        ASSERT_EQ(submit(other_).status, 201);
+        ASSERT_EQ(state_in(cancel(other_)), "aborted");
+        ASSERT_FALSE(early_);
+    }
+    // The state service no longer keeps the changes that the asked controller's copy lacks.
+    void reload_the_copy() {
+        simulation_.compact_changes();
+        ASSERT_EQ(state_in(poll(asked_)), "503");  // the copy is being loaded
+        pause(50);
+        ASSERT_FALSE(early_);
+    }
+
+    Simulation simulation_;
+    std::size_t asked_ = 0;
+    std::size_t other_ = 0;
+    std::size_t terminal_state_reads_ = 0;  // of the asked controller
+    std::optional<net::HttpReply> early_;   // the answer to the request that sent the operation
+};
+
+// Guards against 404 for an accepted job: a question joined a read of the job's terminal state that
+// had been carried out before the job was submitted.
+TEST_F(AnswerFreshness, QuestionAfterACancellationIsNotAnsweredFromAnEarlierRead) {
+    cancel_elsewhere_during_a_read();
+    const auto asked_at = simulation_.now();
+    EXPECT_EQ(state_in(poll(asked_)), "aborted");
+    // It neither waits for the slow answer nor reads the state again.
+    EXPECT_LT(simulation_.now() - asked_at, 200);
+    EXPECT_EQ(terminal_state_reads_, 1U);
+    pause(kAnswerDelayMs);
+    ASSERT_TRUE(early_);
+    EXPECT_EQ(state_in(poll(asked_)), "aborted");
+}
+
+// The same for a repeated cancellation, which looks at the cache after the refresh.
+TEST_F(AnswerFreshness, CancellationAfterACancellationIsNotAnsweredFromAnEarlierRead) {
+    cancel_elsewhere_during_a_read();
+    EXPECT_EQ(state_in(cancel(asked_)), "aborted");
+}
+
+// Guards against 422 for an accepted job: the same for a repeated submission that fits no machine.
+TEST_F(AnswerFreshness, InfeasibleRepeatIsNotRefusedByAnEarlierRead) {
+    cancel_elsewhere_during_a_read();
+    EXPECT_EQ(state_in(submit(asked_, kMachineCpus + 1)), "aborted");
+}
+
+// Guards against 404 for an accepted job after the copy of the open jobs was loaded anew: it then
+// lacks the terminal states that were stored since the read in flight.
+TEST_F(AnswerFreshness, QuestionAfterAReloadIsNotAnsweredFromAnEarlierRead) {
+    cancel_elsewhere_during_a_read();
+    reload_the_copy();
+    EXPECT_EQ(state_in(poll(asked_)), "aborted");
+    pause(kAnswerDelayMs);
+    ASSERT_TRUE(early_);
+    EXPECT_EQ(state_in(poll(asked_)), "aborted");
+}
+
+// Guards against the same for a repeated cancellation.
+TEST_F(AnswerFreshness, CancellationAfterAReloadIsNotAnsweredFromAnEarlierRead) {
+    cancel_elsewhere_during_a_read();
+    reload_the_copy();
+    EXPECT_EQ(state_in(cancel(asked_)), "aborted");
+}
+
+// Many questions about a job that nobody submitted share one read of its terminal state.
+TEST_F(AnswerFreshness, QuestionsAboutAnUnknownJobShareOneRead) {
+    delay_next_answer(kTerminalStateTarget);
+    std::size_t not_found = 0;
+    const auto before = simulation_.now();
+    for (int i = 0; i < 20; ++i) {
+        simulation_.send(asked_, {"GET", kJobTarget, ""}, [&](const net::HttpReply& reply) {
+            not_found += reply.status == 404 ? 1 : 0;
+        });
+        pause(15);
+    }
+    simulation_.advance(before + kAnswerDelayMs + 30);
+    EXPECT_EQ(not_found, 20U);
+    EXPECT_EQ(terminal_state_reads_, 1U);
+}
+
+}  // namespace
+}  // namespace lichendrift::simulation
--- a/tests/events_test.cpp
+++ b/tests/events_test.cpp
@@ -11,9 +11,9 @@
     EXPECT_EQ(format(DutyAcquired{"cleanup", 7}), "event=duty_acquired duty=cleanup epoch=7");
     EXPECT_EQ(format(ProvisionRequested{"r-1-1", 3, "g8", "a", true}),
               "event=provision_requested request=r-1-1 count=3 type=g8 zone=a spot=true");
-    EXPECT_EQ(format(TerminalStateNotFound{"job-000001", 2, 400, 340, 280, true}),
+    EXPECT_EQ(format(TerminalStateNotFound{"job-000001", 2, 400, 340, 280}),
               "event=terminal_state_not_found job=job-000001 requests=2 read_age_ms=400 "
-              "last_request_age_ms=340 copy_age_ms=280 cached=true");
+              "last_request_age_ms=340 copy_age_ms=280");
     EXPECT_EQ(format(LeaseMarginTooSmall{10, 12.5}),
               "event=lease_margin_too_small lease_s=10 cancel_s=12.5");
 }
--- a/tests/simulation/simulation.cpp
+++ b/tests/simulation/simulation.cpp
@@ -388,7 +388,9 @@
            [this, from, request] { serve_state(from, request, [](const net::HttpResponse&) {}); });
         return;
     }
-    if (host == "state") return serve_state(from, request, std::move(respond));
+    if (host == "state") {
+        return serve_state(from, request, with_answer_delay(from, request, std::move(respond)));
+    }
     if (host == "cloud") return serve_cloud(request, respond);
     if (host.size() == 2 && host[0] == 'n') {
         const auto number = static_cast<std::size_t>(host[1] - '0');
@@ -448,11 +450,16 @@
          [this](const net::HttpReply& reply) { counted_replies_ += reply.status != 0 ? 1 : 0; });
 }
 
+void Simulation::send(std::size_t node, net::HttpRequest request, net::OnReply on_reply,
+                      Millis wait_ms) {
+    call("user", node_name(node) + ":1", std::move(request), wait_ms, std::move(on_reply));
+}
+
 net::HttpReply Simulation::send_and_wait(std::size_t node, net::HttpRequest request,
                                          Millis wait_ms) {
     std::optional<net::HttpReply> out;
-    call("user", node_name(node) + ":1", std::move(request), wait_ms,
-         [&](net::HttpReply reply) { out = std::move(reply); });
+    send(
+        node, std::move(request), [&](net::HttpReply reply) { out = std::move(reply); }, wait_ms);
     const auto end = now_ + wait_ms + 10;
     while (!out && now_ < end && violation_.empty()) advance(now_ + 1);
     return out.value_or(net::HttpReply{});
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -222,6 +222,9 @@
     // Sends a request and only counts its response, see counted_replies().
     void send_counted(std::size_t node, net::HttpRequest request);
     [[nodiscard]] std::size_t counted_replies() const { return counted_replies_; }
+    // Sends a user's request, which times out after `wait_ms`.
+    void send(std::size_t node, net::HttpRequest request, net::OnReply on_reply,
+              Millis wait_ms = 5000);
     // Sends a user's request and advances the simulation until it is answered or times out.
     net::HttpReply send_and_wait(std::size_t node, net::HttpRequest request, Millis wait_ms = 5000);
     void block_inbound(Worker& worker, Millis for_ms, bool delay);
@@ -259,6 +262,11 @@
         state_delay_until_ = now_ + for_ms;
         fault_until(state_delay_until_);
     }
+    // How long the state service holds back its answer to a request that it has carried out.
+    using AnswerDelay =
+        std::function<Millis(const std::string& from, const net::HttpRequest& request)>;
+    // Applies to every request to the state service from now on.
+    void delay_state_answers(AnswerDelay delay) { state_answer_delay_ = std::move(delay); }
     // The state service discards its change history, as after 10,000 newer changes, so that watches
     // from an older revision fail.
     void compact_changes() { compacted_revision_ = revision_; }
@@ -336,6 +344,8 @@
 
     void serve_state(const std::string& from, const net::HttpRequest& request,
                      net::Respond respond);
+    net::Respond with_answer_delay(const std::string& from, const net::HttpRequest& request,
+                                   net::Respond respond);
     void apply(const std::string& key, const std::string& value, std::uint64_t lease);
     void wake_watches();
     void answer_watch(const Watch& watch);
@@ -430,6 +440,7 @@
     Millis link_delay_until_ = 0;
     Millis state_delay_ = 0;
     Millis state_delay_until_ = 0;
+    AnswerDelay state_answer_delay_;
     // For the checks and tests of duties: a callback for the controllers' requests, the epochs seen
     // in the state service and at the cloud, counts of release requests and of freezes, and the
     // injected loss of the cloud's responses.
--- a/tests/simulation/state_service.cpp
+++ b/tests/simulation/state_service.cpp
@@ -118,6 +118,15 @@
     return true;
 }
 
+net::Respond Simulation::with_answer_delay(const std::string& from, const net::HttpRequest& request,
+                                           net::Respond respond) {
+    const auto delay = state_answer_delay_ ? state_answer_delay_(from, request) : 0;
+    if (delay == 0) return respond;
+    return [this, delay, respond = std::move(respond)](const net::HttpResponse& response) {
+        at(now_ + delay, [respond, response] { respond(response); });
+    };
+}
+
 void Simulation::serve_state(const std::string& from, const net::HttpRequest& request,
                              net::Respond respond) {
     ++state_requests_;
