Answer no repeated submission from a transaction carried out before it came

What callers saw: a job was accepted and its cancellation confirmed by another controller; the submission repeated at the first one, whose transaction was still without an answer, got 200, "pending" (rule "went_back"). Cause: a repeat joined the submission in flight and took "stored" for the job's state, though the transaction may have been carried out, and the job ended, before the repeat came. Change: a repeat of a job in flight first waits for a refresh, as a question does, and shares it. If the copy then has the job or its end, that is the answer; if not, the transaction is carried out after the refresh, and the repeat joins it. An end known by the time a submission is answered is its answer. Repeats of jobs that are queued join as before: their transaction is sent later than they came.

--- a/src/control/submission_batcher.cpp
+++ b/src/control/submission_batcher.cpp
@@ -84,6 +84,7 @@
         batch.conditions.push_back({keys::terminal_state(next.job.id), 0});
         batch.changes.push_back({open_key, next.value, 0});
         bytes += next.value.size() + kSubmissionOverheadBytes;
+        in_flight_.insert(next.job.id);
         batch.submissions.push_back(std::move(next));
         queue_.pop_front();
     }
@@ -92,6 +93,7 @@
 
 void SubmissionBatcher::on_batch_result(std::vector<Submission> batch,
                                         const store::TransactionResult& result) {
+    for (const auto& submission : batch) in_flight_.erase(submission.job.id);
     for (auto& submission : batch) {
         if (result.outcome == store::Outcome::Ok) {
             job_watcher_.on_open_written(submission.job, result.revision);
--- a/src/control/submission_batcher.h
+++ b/src/control/submission_batcher.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <tl/expected.hpp>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "control/job_watcher.h"
@@ -18,7 +19,7 @@
 /// How an attempt to store a submission ended.
 enum class SubmissionResult : std::uint8_t {
     Created,       ///< stored for this submission
-    Duplicate,     ///< stored for a concurrent earlier submission of the same job
+    Duplicate,     ///< stored for an earlier submission, by a transaction that this one waited for
     AlreadyKnown,  ///< not stored: the job already had a key in the state service
     TooLarge,      ///< not stored: the description exceeds the state service's value limit
     Unavailable,   ///< no usable answer from the state service; the job may have been stored
@@ -33,8 +34,10 @@
 
 /// Queues submitted jobs and writes them to the state service in batches, on the condition that
 /// neither the "open/" nor the "over/" key of any job in the batch exists. A repeated submission of
-/// a job that is queued or in flight is not written again; it waits for the first one's result. The
-/// number of batches in flight is limited.
+/// a job that is queued or in flight is not written again; it waits for the first one's result. If
+/// the job is in flight, the caller first has to read, after the repeat came, that the job is not
+/// stored yet: otherwise it may have been stored and ended before the repeat came. The number of
+/// batches in flight is limited.
 class SubmissionBatcher {
   public:
     /// Called once for each queued submission; for a stored job, after the job watcher has it.
@@ -46,6 +49,12 @@
     /// Queues a job for writing. On an error `done` is not called.
     tl::expected<void, EnqueueError> enqueue(core::JobDescription job, OnResult done);
 
+    /// Whether a transaction that writes this job has been sent and not answered. The state service
+    /// may have carried it out already.
+    [[nodiscard]] bool in_flight(const std::string& job_id) const {
+        return in_flight_.contains(job_id);
+    }
+
   private:
     struct Submission {
         core::JobDescription job;
@@ -67,6 +76,7 @@
     std::deque<Submission> queue_;
     // The callbacks of all queued or in-flight jobs, by job id, in order of submission.
     std::unordered_map<std::string, std::vector<OnResult>> callbacks_;
+    std::unordered_set<std::string> in_flight_;  // ids of the jobs in the batches in flight
     int batches_in_flight_ = 0;
 };
 
--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -120,9 +120,24 @@
                 respond_error(responder, http_status::kUnprocessable, control::text(reason));
             });
     }
+    if (batcher_.in_flight(job.id)) return store_unless_known(std::move(job), std::move(respond));
     store_job(std::move(job), respond);
 }
 
+// Answers a repeated submission whose job is in flight. Its transaction may have been carried out
+// before the repeat came, and the job may have ended since. A copy refreshed after the repeat shows
+// that; if the copy does not have the job, the transaction is carried out later than the refresh.
+void UserApi::store_unless_known(core::JobDescription job, net::Respond respond) {
+    job_watcher_.refresh([this, job = std::move(job), respond = std::move(respond)](bool fresh) {
+        if (!fresh) return refuse(respond, RefusalReason::StateServiceUnavailable);
+        if (const auto state = job_watcher_.terminal_state(job.id)) {
+            return respond_terminal(respond, job.id, *state);
+        }
+        if (job_watcher_.find_open(job.id) != nullptr) return answer_open_job(job.id, respond);
+        store_job(job, respond);
+    });
+}
+
 void UserApi::store_job(core::JobDescription job, const net::Respond& respond) {
     job.submitted_ms = runtime_.wall_ms();
     const auto job_id = job.id;
@@ -138,6 +153,10 @@
     const auto unavailable = [this](const net::Respond& responder) {
         refuse(responder, RefusalReason::StateServiceUnavailable);
     };
+    // The job may have ended while the transaction's answer was under way.
+    if (const auto state = job_watcher_.terminal_state(job_id)) {
+        return respond_terminal(respond, job_id, *state);
+    }
     switch (result) {
         case SubmissionResult::Created:
             return respond({http_status::kCreated, wire::job_state_body(job_id, "pending")});
--- a/src/control/user_api.h
+++ b/src/control/user_api.h
@@ -54,6 +54,7 @@
 
     void submit(const std::string& body, net::Respond respond);
     void store_job(core::JobDescription job, const net::Respond& respond);
+    void store_unless_known(core::JobDescription job, net::Respond respond);
     void on_submission_result(const std::string& job_id, const net::Respond& respond,
                               SubmissionResult result);
     void on_enqueue_error(const net::Respond& respond, EnqueueError error);
--- a/tests/answer_freshness_test.cpp
+++ b/tests/answer_freshness_test.cpp
@@ -155,5 +155,99 @@
     EXPECT_EQ(terminal_state_reads_, 1U);
 }
 
+// Guards against "pending" for a cancelled job: a repeated submission joined one whose transaction
+// had been carried out before the job was cancelled.
+TEST_F(AnswerFreshness, RepeatAfterACancellationIsNotAnsweredFromAnEarlierTransaction) {
+    delay_next_answer(kJobId);
+    simulation_.send(asked_, {"POST", "/v2/runs", submission_body()},
+                     [this](const net::HttpReply& reply) { early_ = reply; });
+    pause(30);
+    ASSERT_TRUE(simulation_.store().contains("open/" + kJobId));
+    ASSERT_EQ(state_in(cancel(other_)), "aborted");
+    ASSERT_FALSE(early_);
+    const auto repeated_at = simulation_.now();
+    EXPECT_EQ(state_in(submit(asked_)), "aborted");
+    EXPECT_LT(simulation_.now() - repeated_at, 200);
+    pause(kAnswerDelayMs);
+    ASSERT_TRUE(early_);
+    EXPECT_EQ(state_in(*early_), "aborted");
+}
+
+// A submission that is repeated while its transaction is under way is written once.
+TEST_F(AnswerFreshness, RepeatDuringASlowTransactionIsNotWrittenAgain) {
+    std::size_t writes = 0;
+    simulation_.observe([&](std::size_t node, const net::HttpRequest& request) {
+        if (node != asked_ || request.target != "/txn") return;
+        writes += request.body.find("open/" + kJobId) == std::string::npos ? 0 : 1;
+    });
+    simulation_.slow_state(300, 2000);
+    std::size_t accepted = 0;
+    for (int i = 0; i < 5; ++i) {
+        simulation_.send(
+            asked_, {"POST", "/v2/runs", submission_body()},
+            [&](const net::HttpReply& reply) { accepted += state_in(reply) == "pending" ? 1 : 0; });
+        pause(20);
+    }
+    pause(2000);
+    EXPECT_EQ(accepted, 5U);
+    EXPECT_EQ(writes, 1U);
+}
+
+// Seeded days on which users ask at all controllers within milliseconds, from before a job is
+// submitted until after its end, while answers of the state service are slow and controllers cannot
+// reach each other.
+class CloseQuestions : public ::testing::TestWithParam<int> {
+  public:
+    static constexpr std::size_t kJobs = 40;
+    static constexpr Millis kJobIntervalMs = 900;
+
+    static Options options(std::uint64_t seed) {
+        auto options = fault_free_options(seed);
+        options.nodes = seed % 3 == 0 ? 5 : 3;
+        options.busy_ms = static_cast<Millis>(kJobs) * kJobIntervalMs + 10'000;
+        options.settle_ms = 60'000;
+        return options;
+    }
+    static void add_jobs(Simulation& simulation, std::mt19937_64& rng) {
+        for (std::size_t n = 1; n <= kJobs; ++n) {
+            auto job = batch_job(numbered_job_id(n), 1, 1 + static_cast<double>(rng() % 3),
+                                 4000 + static_cast<Millis>(n) * kJobIntervalMs);
+            if (rng() % 3 != 0) job.cancel_at = job.submit_at + static_cast<Millis>(rng() % 300);
+            job.cancel_at_end = rng() % 3 == 0;
+            simulation.jobs().push_back(job);
+            simulation.ask_often(job.id, job.submit_at - 400, job.submit_at + 6000);
+        }
+    }
+    static void add_faults(Simulation& simulation, std::mt19937_64& rng) {
+        simulation.delay_state_answers(
+            [&rng](const std::string&, const net::HttpRequest&) -> Millis {
+                return rng() % 6 == 0 ? 100 + static_cast<Millis>(rng() % 600) : 0;
+            });
+        const auto nodes = simulation.node_count();
+        for (Millis t = 5000; t < static_cast<Millis>(kJobs) * kJobIntervalMs; t += 3000) {
+            const auto one = rng() % nodes;
+            const auto other = (one + 1 + rng() % (nodes - 1)) % nodes;
+            simulation.at(t, [&simulation, one, other] {
+                simulation.partition(node_name(one), node_name(other), 2500, false);
+            });
+            if (rng() % 3 == 0) simulation.at(t + 1000, [&] { simulation.compact_changes(); });
+        }
+    }
+};
+
+// Guards against answers that are older than what another controller has told the user.
+TEST_P(CloseQuestions, GetNoOlderAnswer) {
+    constexpr std::uint64_t kDays = 20;
+    for (std::uint64_t i = 0; i < kDays; ++i) {
+        const auto seed = 90'000 + static_cast<std::uint64_t>(GetParam()) * kDays + i;
+        std::mt19937_64 rng(seed);
+        Simulation simulation(options(seed));
+        add_jobs(simulation, rng);
+        add_faults(simulation, rng);
+        EXPECT_EQ(simulation.run(), "") << "seed " << seed;
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Days, CloseQuestions, ::testing::Range(0, 4));
+
 }  // namespace
 }  // namespace lichendrift::simulation
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -41,6 +41,7 @@
     Millis submit_at = 0;
     Millis cancel_at = -1;
     std::optional<std::size_t> via;  // controller that gets the first submission; none: random
+    bool asked_often = false;        // submitted and asked about by Simulation::ask_often()
     bool cancel_at_end = false;      // the user cancels at the moment the last task completes
     bool always_fails = false;
     double replica_s = 0;         // services: run time after which a replica exits; 0: never
@@ -294,6 +295,9 @@
     // unknown job, or an invalid submission.
     void send_unusual_request();
     void submit(Job& job);
+    // From `from` to `until` users ask about the job at random controllers every few dozen
+    // milliseconds, and repeat its submission and cancellation.
+    void ask_often(const std::string& job_id, Millis from, Millis until);
     // Delivers a request to its target host. `sent`: when the sender sent it.
     void serve(const std::string& from, const std::string& to, const net::HttpRequest& request,
                Millis sent, net::Respond respond);
@@ -380,6 +384,8 @@
     void inject_fault();
     void user_tick(Job& job);
     void poll(Job& job);
+    void ask_once(const std::string& job_id);
+    void repeat_submission(const Job& job);
     static std::string description(const Job& job);
     void expect(std::size_t node, net::HttpRequest request, int status, const std::string& state);
     void fail(const std::string& rule, const std::string& detail);
--- a/tests/simulation/users.cpp
+++ b/tests/simulation/users.cpp
@@ -200,8 +200,48 @@
          });
 }
 
+void Simulation::ask_often(const std::string& job_id, Millis from, Millis until) {
+    if (from >= until) return;
+    job(job_id)->asked_often = true;
+    at(from, [this, job_id, until] {
+        ask_once(job_id);
+        ask_often(job_id, now_ + 20 + static_cast<Millis>(random_below(60)), until);
+    });
+}
+
+void Simulation::ask_once(const std::string& job_id) {
+    Job& j = *job(job_id);
+    if (now_ >= j.submit_at) j.submitted = true;
+    const auto choice = random_below(4);
+    if (choice == 0 && j.submitted) return repeat_submission(j);
+    if (choice == 1 && j.cancel_requested_at >= 0) return cancel(j);
+    poll(j);
+}
+
+// The answer must not be older than what the user knew when the request was sent.
+void Simulation::repeat_submission(const Job& j) {
+    const auto node = random_below(nodes_.size());
+    const bool accepted = j.accepted_at >= 0;
+    const std::string final_state = j.cancel_confirmed_at >= 0 ? "aborted"
+                                    : j.done_reported          ? "done"
+                                                               : "";
+    call("user", node_name(node) + ":1", {"POST", "/v2/runs", description(j)}, 5000,
+         [this, id = j.id, accepted, final_state](const net::HttpReply& reply) {
+             if (reply.status == 400 || reply.status == 422) {
+                 if (accepted) fail("forgotten", id + " refused after acceptance");
+                 return;
+             }
+             if (reply.status != 200 && reply.status != 201) return;
+             if (job(id)->accepted_at < 0) job(id)->accepted_at = now_;
+             const std::string state = parsed(reply.body)["stato"].GetString();
+             if (!final_state.empty() && state != final_state) {
+                 fail("went_back", id + " is " + state + " after " + final_state);
+             }
+         });
+}
+
 void Simulation::user_tick(Job& j) {
-    if (!j.submitted && now_ >= j.submit_at) {
+    if (!j.submitted && !j.asked_often && now_ >= j.submit_at) {
         j.submit_deadline = now_ + 60000;
         submit(j);
     }
