Keep the jobs that watches have brought while the copy is loaded anew

Cause: a load of the open jobs replaced the copy by pages that were read earlier than what the leader's watch had brought meanwhile, and put the copy's revision back, while the next watch was in flight from the later revision: its answer then skipped the changes in between. Jobs missing from the pages were taken for cancelled. Change: jobs opened after the load's first page stay, and the revision never goes back. Why this works: the copy has passed through all changes up to its revision, and the pages through all up to theirs, so the two together hold all up to the later one; ends in between are cached.

--- a/src/control/job_watcher.cpp
+++ b/src/control/job_watcher.cpp
@@ -77,10 +77,13 @@
 
 void JobWatcher::on_loaded(PartialLoad complete) {
     const auto previous = std::exchange(open_, std::move(complete.jobs));
-    // A job may have ended after its page was read. Those with a cached terminal state, which never
-    // changes, are removed.
+    // Watches may have brought changes since the pages were read. Jobs that were opened later are
+    // kept; those with a cached terminal state, which never changes, are removed.
+    for (const auto& [job_id, job] : previous) {
+        if (job.revision > complete.revision) open_.emplace(job_id, job);
+    }
     std::erase_if(open_, [&](const auto& job) { return terminal_states_.contains(job.first); });
-    revision_ = complete.revision;
+    revision_ = std::max(revision_, complete.revision);
     read_at_ = std::max(read_at_, load_sent_at_);
     cancellations_.set_complete_after(complete.revision);
     loaded_ = true;
--- a/tests/answer_freshness_test.cpp
+++ b/tests/answer_freshness_test.cpp
@@ -193,6 +193,66 @@
     EXPECT_EQ(writes, 1U);
 }
 
+// While the leader loads its copy of the open jobs anew, its watch brings a job that was accepted
+// after the load's page was read.
+class CopyReload : public ::testing::TestWithParam<int> {
+  protected:
+    CopyReload() : simulation_(fault_free_options(42)) {
+        simulation_.advance(5200);
+        const auto leader = simulation_.leader();
+        if (!leader) throw std::runtime_error("no leader");
+        leader_ = *leader;
+        reload_the_copy();
+        simulation_.advance(simulation_.now() + 50);
+        submit(1);
+    }
+    [[nodiscard]] Millis load_ms() const { return 300 + 40 * static_cast<Millis>(GetParam()); }
+    // The state service no longer keeps a change that the leader's copy lacks. The leader notices
+    // at its next read, and the answer to its load takes load_ms().
+    void reload_the_copy() {
+        simulation_.serve("test", "state:1",
+                          {"POST", "/txn", R"({"when":[],"then":[{"set":"token2","value":{}}]})"},
+                          simulation_.now(), [](const net::HttpResponse&) {});
+        simulation_.compact_changes();
+        simulation_.delay_state_answers(
+            [this](const std::string& from, const net::HttpRequest& request) -> Millis {
+                const bool loads = request.target.starts_with("/store?prefix=open/");
+                if (from != node_name(leader_) || !loads) return 0;
+                ++loads_;
+                return load_ms();
+            });
+        simulation_.send(leader_, {"GET", kJobTarget, ""}, [](const net::HttpReply&) {});
+    }
+    void submit(std::size_t number) {
+        auto job = batch_job(numbered_job_id(number), 1, 5);
+        job.via = (leader_ + 1) % 3;
+        simulation_.jobs().push_back(job);
+        simulation_.submit(simulation_.jobs().back());
+    }
+
+    Simulation simulation_;
+    std::size_t leader_ = 0;
+    int loads_ = 0;  // of the leader's copy
+};
+
+// Guards against tasks that are stopped for nothing: the leader took a job that the load did not
+// show for cancelled, though it knew that the job had been accepted since.
+TEST_P(CopyReload, JobAcceptedDuringALoadIsNotStopped) {
+    EXPECT_EQ(simulation_.run(), "");
+    EXPECT_EQ(simulation_.jobs().front().starts, 1U);
+    EXPECT_EQ(loads_, 1);
+}
+
+// Guards against 404 for an accepted job: after the load the next change let the copy skip the job.
+TEST_P(CopyReload, JobAcceptedDuringALoadIsKnown) {
+    simulation_.advance(simulation_.now() + load_ms() - 40);
+    submit(2);
+    simulation_.advance(simulation_.now() + 200);
+    EXPECT_EQ(simulation_.send_and_wait(leader_, {"GET", kJobTarget, ""}).status, 200);
+    EXPECT_EQ(loads_, 1);
+}
+INSTANTIATE_TEST_SUITE_P(Loads, CopyReload, ::testing::Range(0, 8));
+
 // Seeded days on which users ask at all controllers within milliseconds, from before a job is
 // submitted until after its end, while answers of the state service are slow and controllers cannot
 // reach each other.
