--- a/tests/answer_freshness_test.cpp
+++ b/tests/answer_freshness_test.cpp
@@ -3,6 +3,8 @@
 // request.
 #include <gtest/gtest.h>
 
+#include <cstdlib>
+
 #include "simulation/messages.h"
 #include "simulation/simulation.h"
 
@@ -293,17 +295,50 @@
             if (rng() % 3 == 0) simulation.at(t + 1000, [&] { simulation.compact_changes(); });
         }
     }
+    static void add_restarts_and_refusals(Simulation& simulation, std::mt19937_64& rng) {
+        const auto nodes = simulation.node_count();
+        for (Millis t = 6500; t < static_cast<Millis>(kJobs) * kJobIntervalMs; t += 4000) {
+            const auto node = rng() % nodes;
+            const auto span = 200 + static_cast<Millis>(rng() % 2500);
+            if (rng() % 2 == 0) {
+                simulation.at(t, [&simulation, node, span] { simulation.crash(node, span); });
+            } else {
+                simulation.at(t, [&simulation, node, span] {
+                    simulation.refuse_state_requests(node, 2 * span);
+                });
+            }
+        }
+    }
+    // CLOSE_QUESTION_DAYS sets the number of days of each case, for long runs by hand.
+    static std::uint64_t days() {
+        constexpr std::uint64_t kDays = 20;
+        // NOLINTNEXTLINE(concurrency-mt-unsafe): no other thread runs.
+        const char* const wanted = std::getenv("CLOSE_QUESTION_DAYS");
+        return wanted == nullptr ? kDays : std::strtoull(wanted, nullptr, 10);
+    }
 };
 
 // Guards against answers that are older than what another controller has told the user.
 TEST_P(CloseQuestions, GetNoOlderAnswer) {
-    constexpr std::uint64_t kDays = 20;
-    for (std::uint64_t i = 0; i < kDays; ++i) {
-        const auto seed = 90'000 + static_cast<std::uint64_t>(GetParam()) * kDays + i;
+    for (std::uint64_t i = 0; i < days(); ++i) {
+        const auto seed = 90'000 + static_cast<std::uint64_t>(GetParam()) * days() + i;
+        std::mt19937_64 rng(seed);
+        Simulation simulation(options(seed));
+        add_jobs(simulation, rng);
+        add_faults(simulation, rng);
+        EXPECT_EQ(simulation.run(), "") << "seed " << seed;
+    }
+}
+
+// The same while controllers restart, or are refused by the state service and forward requests.
+TEST_P(CloseQuestions, GetNoOlderAnswerBesideRestarts) {
+    for (std::uint64_t i = 0; i < days(); ++i) {
+        const auto seed = 95'000 + static_cast<std::uint64_t>(GetParam()) * days() + i;
         std::mt19937_64 rng(seed);
         Simulation simulation(options(seed));
         add_jobs(simulation, rng);
         add_faults(simulation, rng);
+        add_restarts_and_refusals(simulation, rng);
         EXPECT_EQ(simulation.run(), "") << "seed " << seed;
     }
 }
