Move the reads of terminal states out of the job watcher

Change: control/terminal_state_reader has those reads, with the reason why a request may join one. The event's copy_age_ms is the age of the copy that the last of the requests looked at.

--- a/src/control/job_watcher.cpp
+++ b/src/control/job_watcher.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "core/state_keys.h"
-#include "events/format.h"
 #include "wire/stored_values.h"
 
 namespace lichendrift::control {
@@ -35,7 +34,14 @@
 }  // namespace
 
 JobWatcher::JobWatcher(net::Runtime& runtime, store::StoreClient& store)
-    : runtime_(runtime), store_(store), refresh_sent_at_(kLongAgo) {}
+    : runtime_(runtime),
+      store_(store),
+      refresh_sent_at_(kLongAgo),
+      terminal_state_reader_(
+          runtime, store,
+          [this](const std::string& job_id, TerminalState state, std::uint64_t revision) {
+              record_terminal_state(job_id, state, revision);
+          }) {}
 
 void JobWatcher::start() {
     load();
@@ -259,7 +265,7 @@
                                        std::uint64_t revision) {
     if (!terminal_states_.insert(job_id, state)) return false;
     if (state == TerminalState::Aborted) cancellations_.append({revision, job_id});
-    end_terminal_state_read(job_id, state);
+    terminal_state_reader_.end(job_id, state);
     return true;
 }
 
@@ -267,64 +273,7 @@
 
 void JobWatcher::read_terminal_state(const std::string& job_id, OnTerminalState done) {
     if (const auto state = terminal_states_.find(job_id)) return done(*state);
-    auto& read = terminal_state_reads_[job_id];
-    // A load brings no terminal states. Those stored between an earlier read and the load are
-    // unknown here, so the earlier read says nothing about the time of this call.
-    if (!read || read->loads != loads_) read = send_terminal_state_read(job_id);
-    read->callbacks.push_back(std::move(done));
-    read->last_request_at = runtime_.now();
-}
-
-std::shared_ptr<JobWatcher::TerminalStateRead> JobWatcher::send_terminal_state_read(
-    const std::string& job_id) {
-    auto read = std::make_shared<TerminalStateRead>();
-    read->sent_at = runtime_.now();
-    read->loads = loads_;
-    store_.get(store::RequestPriority::Read, keys::terminal_state(job_id),
-               [this, job_id, read](store::Outcome outcome, const wire::Item& item) {
-                   const auto newest = terminal_state_reads_.find(job_id);
-                   if (newest != terminal_state_reads_.end() && newest->second == read) {
-                       terminal_state_reads_.erase(newest);
-                   }
-                   on_terminal_state_read(job_id, *read, outcome, item);
-               });
-    return read;
-}
-
-void JobWatcher::on_terminal_state_read(const std::string& job_id, TerminalStateRead& read,
-                                        store::Outcome outcome, const wire::Item& item) {
-    tl::expected<TerminalState, LookupError> result = tl::unexpected(
-        outcome == store::Outcome::Missing ? LookupError::NotFound : LookupError::Unavailable);
-    const auto stored = outcome == store::Outcome::Ok
-                            ? wire::parse_terminal_state_value(job_id, item.value)
-                            : std::nullopt;
-    if (stored) {
-        result = stored->aborted ? TerminalState::Aborted : TerminalState::Done;
-        record_terminal_state(job_id, *result, item.revision);
-    }
-    if (outcome == store::Outcome::Missing && !read.callbacks.empty()) log_not_found(job_id, read);
-    for (const auto& callback : std::exchange(read.callbacks, {})) callback(result);
-}
-
-// Answers the requests that wait for a read in flight. Deferred, because the caller may be in the
-// middle of an update, and a cancellation is announced to the peers before users are told of it.
-void JobWatcher::end_terminal_state_read(const std::string& job_id, TerminalState state) {
-    const auto ended = terminal_state_reads_.extract(job_id);
-    if (!ended) return;
-    runtime_.after(0, [state, callbacks = std::exchange(ended.mapped()->callbacks, {})] {
-        for (const auto& callback : callbacks) callback(state);
-    });
-}
-
-void JobWatcher::log_not_found(const std::string& job_id, const TerminalStateRead& read) const {
-    const auto now = runtime_.now();
-    events::TerminalStateNotFound event;
-    event.job = job_id;
-    event.requests = read.callbacks.size();
-    event.read_age_ms = now - read.sent_at;
-    event.last_request_age_ms = now - read.last_request_at;
-    event.copy_age_ms = now - read_at_;
-    events::log(event);
+    terminal_state_reader_.read(job_id, {loads_, read_at_}, std::move(done));
 }
 
 }  // namespace lichendrift::control
--- a/src/control/job_watcher.h
+++ b/src/control/job_watcher.h
@@ -4,30 +4,20 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
-#include <tl/expected.hpp>
-#include <unordered_map>
 #include <vector>
 
 #include "control/cancellation_log.h"
 #include "control/terminal_state.h"
 #include "control/terminal_state_cache.h"
+#include "control/terminal_state_reader.h"
 #include "net/runtime.h"
 #include "store/store_client.h"
 #include "wire/peer_messages.h"
 
 namespace lichendrift::control {
 
-using core::Millis;
-
-/// Why the terminal state of a job could not be read.
-enum class LookupError : std::uint8_t {
-    NotFound,     ///< none is stored: the job is open or was never accepted
-    Unavailable,  ///< the state service gave no usable answer
-};
-
 /// Keeps a local copy of the open jobs and a cache of terminal states, which are looked up without
 /// a request to the state service.
 ///
@@ -39,12 +29,6 @@
 /// One transaction removes a job's "open/" key and writes its "over/" key. An accepted job that is
 /// missing from a fresh copy therefore has a terminal state.
 ///
-/// A read of a terminal state that is in flight may have been carried out before a later request
-/// came. The request may share it nevertheless: a refresh after the request has brought all
-/// terminal states that were stored since the read was sent, unless the copy was loaded anew in
-/// between. So the request is answered with the state that the refresh has brought, or the read's
-/// "not found" still holds at the revision of the refreshed copy.
-///
 /// Loop thread only; callbacks run on that thread too.
 class JobWatcher {
   public:
@@ -67,8 +51,8 @@
     };
     /// Gets true once the copy is fresh, or false if it cannot be refreshed now.
     using OnRefreshed = std::function<void(bool fresh)>;
-    /// Gets the terminal state of a job as read from the state service, or the error.
-    using OnTerminalState = std::function<void(const tl::expected<TerminalState, LookupError>&)>;
+    /// Gets the terminal state of a job, or the error.
+    using OnTerminalState = TerminalStateReader::OnResult;
     /// Gets each cancellation that this node has stored.
     using OnCancellation = std::function<void(const wire::Cancellation&)>;
 
@@ -132,13 +116,6 @@
         std::map<std::string, OpenJob> jobs;
         std::uint64_t revision = 0;  // of the first page; 0: no page read yet
     };
-    // A read of a job's terminal state that is in flight, with the callbacks that wait for it.
-    struct TerminalStateRead {
-        std::vector<OnTerminalState> callbacks;
-        Millis sent_at = 0;
-        Millis last_request_at = 0;
-        std::uint64_t loads = 0;  // loads of the copy that were complete when it was sent
-    };
     void load();
     void load_page(const std::string& after_key, PartialLoad so_far);
     void on_load_page(const wire::ItemPage& page, PartialLoad so_far);
@@ -156,11 +133,6 @@
     void end_job(const std::string& job_id, TerminalState state);
     bool record_terminal_state(const std::string& job_id, TerminalState state,
                                std::uint64_t revision);
-    std::shared_ptr<TerminalStateRead> send_terminal_state_read(const std::string& job_id);
-    void on_terminal_state_read(const std::string& job_id, TerminalStateRead& read,
-                                store::Outcome outcome, const wire::Item& item);
-    void end_terminal_state_read(const std::string& job_id, TerminalState state);
-    void log_not_found(const std::string& job_id, const TerminalStateRead& read) const;
 
     net::Runtime& runtime_;
     store::StoreClient& store_;
@@ -185,8 +157,7 @@
     std::optional<Listener> listener_;
     std::uint64_t watch_generation_ = 0;  // to ignore answers to earlier watches
 
-    // The newest read in flight for each job.
-    std::unordered_map<std::string, std::shared_ptr<TerminalStateRead>> terminal_state_reads_;
+    TerminalStateReader terminal_state_reader_;
 };
 
 }  // namespace lichendrift::control
--- a/src/events/event.h
+++ b/src/events/event.h
@@ -163,7 +163,7 @@
     std::size_t requests = 0;              ///< number of requests that waited for the read
     std::int64_t read_age_ms = 0;          ///< time since the read was sent
     std::int64_t last_request_age_ms = 0;  ///< time since the last of the requests began to wait
-    std::int64_t copy_age_ms = 0;          ///< time since the newest read of the open jobs was sent
+    std::int64_t copy_age_ms = 0;  ///< age of the copy that the last of the requests looked at
 };
 
 // ---- machines ----
