--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -246,9 +246,7 @@
 
 void UserApi::write_cancellation(const std::string& job_id, net::Respond respond, int retries) {
     const auto* open = job_watcher_.find_open(job_id);
-    if (open == nullptr) {
-        return answer_from_refreshed_copy(job_id, std::move(respond), respond_no_such_job);
-    }
+    if (open == nullptr) return poll(job_id, std::move(respond), respond_no_such_job);
     // The terminal state keeps the description, which is needed as long as tasks of the job may
     // still be on machines.
     const auto value = wire::terminal_state_value_within(true, open->description,
