--- a/review/standins-2/region.h
+++ b/review/standins-2/region.h
@@ -498,6 +498,7 @@
     [[nodiscard]] bool gone() const { return machine_.gone; }
     [[nodiscard]] const Machine& machine() const { return machine_; }
     std::optional<double> notice_s;  // spot notice that the next reports carry
+    bool sick = false;               // fails every task that it starts
 
   private:
     void beat();
@@ -545,6 +546,16 @@
         loop.after(up_after, [worker] { worker->start(); });
         return added;
     }
+    // The worker that has this task in a state other than exited; null: none.
+    [[nodiscard]] const Worker* worker_of(const std::string& task) const {
+        for (const auto& worker : workers) {
+            if (worker->gone()) continue;
+            for (const auto& on : worker->tasks()) {
+                if (on.name == task && on.state != "exited") return worker.get();
+            }
+        }
+        return nullptr;
+    }
     // Machines that run this task now, by the rule's meaning: from the image until the exit.
     [[nodiscard]] std::vector<std::string> machines_of(const std::string& task) const {
         std::vector<std::string> found;
@@ -629,6 +640,10 @@
             task.since = now;
             task.state = "running";
             if (all_.results.contains(task.name)) task.state = "exited", task.why = "done";
+            if (sick) {
+                task.state = "exited", task.why = "error";
+                all_.record.line("%s: %s failed", machine_.name.c_str(), task.name.c_str());
+            }
             changed();
         } else if (task.state == "running" && !job.service &&
                    now - task.since >= static_cast<Millis>(job.run_s * 1000)) {
