--- a/review/standins-2/region.h
+++ b/review/standins-2/region.h
@@ -1095,7 +1095,7 @@
     std::string id, cls = "rielabora-punteggi", team = "ufficio-esami", kind = "sweep";
     std::string priority = "low", image = "img-07";
     std::uint32_t tasks = 1;
-    double cpus = 10, gpus = 1, mem_gb = 36, image_gb = 6, estimate_s = 60;
+    double cpus = 10, gpus = 1, mem_gb = 36, image_gb = 6, estimate_s = 60, checkpoint_s = 10;
     std::vector<std::string> types;  // empty: any
 };
 
@@ -1113,7 +1113,7 @@
         << ",\"modelli\":" << (job.types.empty() ? "null" : "[" + types + "]")
         << ",\"sede\":null,\"oneZone\":false,\"apart\":false,\"inPrestito\":true,\"durataS\":"
         << job.estimate_s
-        << ",\"salvataggioOgniS\":10.0,\"salvataggioS\":2.0,\"scadenzaS\":null}";
+        << ",\"salvataggioOgniS\":" << job.checkpoint_s << ",\"salvataggioS\":2.0,\"scadenzaS\":null}";
     return out.str();
 }
 
