Review case 7: the disruption is now two jobs submitted with a mistake

The machine need not be faulty at all: two jobs that fail everywhere make a sound machine count as faulty, and it gets no work again while it still runs a task.

--- a/review/standins-2/region.h
+++ b/review/standins-2/region.h
@@ -473,6 +473,7 @@
     std::uint32_t tasks = 1;
     bool gang = false, service = false;
     double run_s = 5, cpus = 1, gpus = 0, mem_gb = 1, fetch_s = 0.2;
+    bool mistake = false;  // submitted with a mistake: it fails on every machine
 };
 
 struct Machine {
@@ -640,7 +641,7 @@
             task.since = now;
             task.state = "running";
             if (all_.results.contains(task.name)) task.state = "exited", task.why = "done";
-            if (sick) {
+            if (sick || job.mistake) {
                 task.state = "exited", task.why = "error";
                 all_.record.line("%s: %s failed", machine_.name.c_str(), task.name.c_str());
             }
