--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Builds the stand-ins of the cases review/4 to review/8, after the build of deploy/service.toml.
+# The sources are named trial.cpp: review/build.sh builds each case.cpp with other stand-ins.
 # Needs g++, rapidjson and http-parser, as the program itself; src/net serves as their HTTP library.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -13,6 +14,6 @@
   objects+=("$out/$source.o")
 done
 for number in 4 5 6 7 8; do
-  [ -f "review/$number/case.cpp" ] || continue
-  g++ "${flags[@]}" "review/$number/case.cpp" "${objects[@]}" -lhttp_parser -pthread -o "$out/case-$number"
+  [ -f "review/$number/trial.cpp" ] || continue
+  g++ "${flags[@]}" "review/$number/trial.cpp" "${objects[@]}" -lhttp_parser -pthread -o "$out/case-$number"
 done
