Cut off the controller that cleans up in the test of records of newly accepted jobs

The test cut off "the holder of the cleanup duty" at 18 s. There was none before 44 s, since the jobs of the test keep the state service busy, and an empty optional was read: with g++ that named n0 by chance, with clang no controller.

Now the jobs begin once there is a holder, which the test asserts, and it has to hold the duty to the end. The checks are the same, with two more.

--- a/tests/duties_cleanup_test.cpp
+++ b/tests/duties_cleanup_test.cpp
@@ -103,15 +103,20 @@
         options.features.cleanup_page_s = 1;
         options.machines = 12;
         Simulation simulation(options);
+        while (!cleanup_holder(simulation) && simulation.now() < options.busy_ms) {
+            simulation.advance(simulation.now() + 1000);
+        }
+        const auto holder = cleanup_holder(simulation);
+        ASSERT_TRUE(holder) << "seed " << seed;
+        // Cuts off users, because their requests would make the controller refresh its copy.
+        const auto from = simulation.now();
+        simulation.partition(node_name(*holder), "user", 60'000, false);
         for (std::size_t n = 0; n < 400; ++n) {
             simulation.jobs().push_back(
-                batch_job(numbered_job_id(n), 1, 2, 8000 + static_cast<Millis>(n) * 100));
+                batch_job(numbered_job_id(n), 1, 2, from + static_cast<Millis>(n) * 100));
         }
-        // Cuts off users, because their requests would make the controller refresh its copy.
-        simulation.at(18'000, [&] {
-            simulation.partition(node_name(*cleanup_holder(simulation)), "user", 60'000, false);
-        });
-        simulation.advance(70'000);
+        simulation.advance(from + 62'000);
+        EXPECT_EQ(cleanup_holder(simulation), holder) << "seed " << seed;
         for (std::size_t n = 0; n < simulation.node_count(); ++n) {
             EXPECT_EQ(simulation.controller(n)->suspicious_records(), 0U) << "seed " << seed;
         }
