Look a submission up before it is refused because its description is too long

A question about the job still got 200.

Cause: whether a job is known was found out by the conditions of the transaction that stores it. A description above the limit never gets that far: SubmissionBatcher::enqueue refuses it, or the state service rejects the transaction for its size. Both answered 400, as to a new job. Only the check for 422 looked the job up.

Evidence: in the record of the case each controller's first answer follows a rejected transaction of 2,643 bytes; a further repeat is refused without one. The terminal state is there: a question gets "done".

Why it works: UserApi::refuse_unless_known refreshes the copy and reads the terminal state after the repeat came, as for a question; an accepted job is either open or has its terminal state, as one transaction changes both. Unknown: 400 as before. No answer from the state service: 503. A submission that is accepted costs no request more.

--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -113,17 +113,23 @@
     if (!store_.responsive()) return refuse(respond, RefusalReason::StateServiceUnavailable);
     if (types_.empty()) return refuse(respond, RefusalReason::MachineTypesUnknown);
     if (const auto feasible = check_feasibility(job, settings_.teams, types_); !feasible) {
-        // The job may have been accepted earlier, under other prices, machine types or teams. Such
-        // a job must not be refused, so its state is looked up first.
-        return answer_after_refresh(
-            job.id, std::move(respond), [reason = feasible.error()](const net::Respond& responder) {
-                respond_error(responder, http_status::kUnprocessable, control::text(reason));
+        return refuse_unless_known(
+            job.id, std::move(respond), [reason = feasible.error()](const net::Respond& refused) {
+                respond_error(refused, http_status::kUnprocessable, control::text(reason));
             });
     }
     if (batcher_.in_flight(job.id)) return store_unless_known(std::move(job), std::move(respond));
     store_job(std::move(job), respond);
 }
 
+// Refuses a submission for a reason that holds for new jobs only. The job may have been accepted
+// earlier, under other limits, machine types or teams, by any controller. A repeated submission of
+// such a job is answered with the job's state, so the state is looked up first.
+void UserApi::refuse_unless_known(const std::string& job_id, net::Respond respond,
+                                  OnUnknownJob refuse_new) {
+    answer_after_refresh(job_id, std::move(respond), std::move(refuse_new));
+}
+
 // Answers a repeated submission whose job is in flight. Its transaction may have been carried out
 // before the repeat came, and the job may have ended since, so the job is looked up first. If it is
 // unknown, the transaction is carried out later than the lookup.
@@ -141,7 +147,7 @@
         batcher_.enqueue(std::move(job), [this, job_id, respond](SubmissionResult result) {
             on_submission_result(job_id, respond, result);
         });
-    if (!queued) on_enqueue_error(respond, queued.error());
+    if (!queued) on_enqueue_error(job_id, respond, queued.error());
 }
 
 void UserApi::on_submission_result(const std::string& job_id, const net::Respond& respond,
@@ -161,20 +167,21 @@
         case SubmissionResult::AlreadyKnown:
             return poll(job_id, respond, unavailable);
         case SubmissionResult::TooLarge:
-            return respond_too_large(respond);
+            return refuse_unless_known(job_id, respond, respond_too_large);
         case SubmissionResult::Unavailable:
             return unavailable(respond);
     }
 }
 
-void UserApi::on_enqueue_error(const net::Respond& respond, EnqueueError error) {
+void UserApi::on_enqueue_error(const std::string& job_id, const net::Respond& respond,
+                               EnqueueError error) {
     switch (error) {
         case EnqueueError::TooManyDuplicates:
             return refuse(respond, RefusalReason::TooManyDuplicates);
         case EnqueueError::QueueFull:
             return refuse(respond, RefusalReason::TooManySubmissions);
         case EnqueueError::TooLarge:
-            return respond_too_large(respond);
+            return refuse_unless_known(job_id, respond, respond_too_large);
     }
 }
 
--- a/src/control/user_api.h
+++ b/src/control/user_api.h
@@ -57,7 +57,10 @@
     void store_unless_known(core::JobDescription job, net::Respond respond);
     void on_submission_result(const std::string& job_id, const net::Respond& respond,
                               SubmissionResult result);
-    void on_enqueue_error(const net::Respond& respond, EnqueueError error);
+    void on_enqueue_error(const std::string& job_id, const net::Respond& respond,
+                          EnqueueError error);
+    void refuse_unless_known(const std::string& job_id, net::Respond respond,
+                             OnUnknownJob refuse_new);
 
     void poll(const std::string& job_id, net::Respond respond, OnUnknownJob on_unknown);
     void answer_after_refresh(const std::string& job_id, net::Respond respond,
--- a/tests/simulation/messages.h
+++ b/tests/simulation/messages.h
@@ -4,6 +4,7 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <algorithm>
 #include <string>
 
 #include "core/types.h"
@@ -27,6 +28,16 @@
     return doc;
 }
 
+// Whether a JSON text is in UTF-8, as it has to be.
+inline bool is_utf8_json(const std::string& text) {
+    const bool is_ascii = std::all_of(text.begin(), text.end(),
+                                      [](char c) { return static_cast<unsigned char>(c) < 0x80; });
+    if (is_ascii) return true;
+    Doc doc;
+    doc.Parse<rapidjson::kParseValidateEncodingFlag>(text.c_str(), text.size());
+    return !doc.HasParseError();
+}
+
 inline std::string json(const rapidjson::Value& v) {
     Buffer b;
     Writer w(b);
--- a/tests/simulation/simulation.cpp
+++ b/tests/simulation/simulation.cpp
@@ -183,7 +183,7 @@
     s.cloud_rps = 6;
     s.guards = options_.guards;
     s.guards.current_version &= nodes_[n].current;
-    s.state_next = options_.next;
+    if (options_.limits_announced) s.state_next = options_.next;
     s.policy = options_.policy;
     if (nodes_[n].current) s.features = options_.features;
     nodes_[n].runtime = std::make_unique<NodeRuntime>(*this, n);
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -145,7 +145,8 @@
     bool peers_without_cancel_messages = false;
     // Controllers start as the previous version, which has no services; see upgrade().
     bool old_version = false;
-    control::NextStateLimits next;  // set from the start; enforced after apply_next_limits()
+    control::NextStateLimits next;  // enforced after apply_next_limits()
+    bool limits_announced = true;   // `next` is in the controllers' settings from the start
     core::SafetyGuards guards;      // a test of a guard disables it to show that it is needed
     std::string policy;             // text of the operators' policy
     control::Features features;     // features that the operators have enabled
@@ -178,6 +179,7 @@
     void downgrade(std::size_t node, Millis back_after) { change_version(node, false, back_after); }
     // Enforces the limits of Options::next from now on.
     void apply_next_limits() { limits_in_force_ = true; }
+    void lift_next_limits() { limits_in_force_ = false; }
     // Transactions that the state service rejected for their size since apply_next_limits().
     [[nodiscard]] std::size_t rejections() const { return rejections_; }
     // Partitions all hosts whose names start with `a` from those whose names start with `b`.
--- a/tests/simulation/state_service.cpp
+++ b/tests/simulation/state_service.cpp
@@ -194,6 +194,7 @@
         return respond({200, R"({"concessione":)" + std::to_string(id) + "}"});
     }
     if (target == "/txn") {
+        if (!is_utf8_json(request.body)) return respond({400, "{}"});
         const rapidjson::Value none(rapidjson::kArrayType);
         const auto& then = doc.HasMember("then") ? doc["then"] : none;
         const auto& when = doc["when"];
