Look a submission up before it gets 503 because the machine types are unknown

What callers saw: while the cloud does not answer, a controller that has just started answers the repeated submission of a finished job with 503, like a new job, for as long as that lasts. A question gets "done" there.

Cause: the same as for descriptions that are too long: a check that only new jobs have to pass came before any look at whether the job is known.

Why it works: such a submission is looked up as a question is; a known job gets its state, a new one 503 as before. At most 50 such lookups are in flight on a controller; beyond them the answer is 503 without one.

Test: KnownJob.RepeatWhileTheMachineTypesAreUnknownIsAnswered gets 503 from each of three controllers before, "done" after. x86-64.

--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -19,6 +19,7 @@
 constexpr std::string_view kRunsPath = "/v2/runs";
 constexpr std::string_view kCancelSuffix = "/cancel";
 constexpr int kRetryAfterS = 1;
+constexpr std::size_t kMaxLookupsBefore503 = 50;
 constexpr int kCancelRetries = 3;  // if the job's keys change between the read and the write
 constexpr std::size_t kMaxLoggedBodyBytes = 400;
 constexpr Millis kRefusalLogIntervalMs = 3000;
@@ -111,7 +112,9 @@
         });
     }
     if (!store_.responsive()) return refuse(respond, RefusalReason::StateServiceUnavailable);
-    if (types_.empty()) return refuse(respond, RefusalReason::MachineTypesUnknown);
+    if (types_.empty()) {
+        return postpone_unless_known(job.id, respond, RefusalReason::MachineTypesUnknown);
+    }
     if (const auto feasible = check_feasibility(job, settings_.teams, types_); !feasible) {
         return refuse_unless_known(
             job.id, std::move(respond), [reason = feasible.error()](const net::Respond& refused) {
@@ -130,6 +133,22 @@
     answer_after_refresh(job_id, std::move(respond), std::move(refuse_new));
 }
 
+// The same for a reason that will pass: a new job gets status 503, and its user tries again. Under
+// overload most submissions are of new jobs, so the number of lookups is limited; without one, a
+// known job gets status 503 as well.
+void UserApi::postpone_unless_known(const std::string& job_id, const net::Respond& respond,
+                                    RefusalReason reason) {
+    if (lookups_before_503_ >= kMaxLookupsBefore503) return refuse(respond, reason);
+    ++lookups_before_503_;
+    const auto respond_and_count = [this, respond](const net::HttpResponse& response) {
+        --lookups_before_503_;
+        respond(response);
+    };
+    refuse_unless_known(job_id, respond_and_count, [this, reason](const net::Respond& postponed) {
+        refuse(postponed, reason);
+    });
+}
+
 // Answers a repeated submission whose job is in flight. Its transaction may have been carried out
 // before the repeat came, and the job may have ended since, so the job is looked up first. If it is
 // unknown, the transaction is carried out later than the lookup.
--- a/src/control/user_api.h
+++ b/src/control/user_api.h
@@ -61,6 +61,8 @@
                           EnqueueError error);
     void refuse_unless_known(const std::string& job_id, net::Respond respond,
                              OnUnknownJob refuse_new);
+    void postpone_unless_known(const std::string& job_id, const net::Respond& respond,
+                               RefusalReason reason);
 
     void poll(const std::string& job_id, net::Respond respond, OnUnknownJob on_unknown);
     void answer_after_refresh(const std::string& job_id, net::Respond respond,
@@ -83,6 +85,7 @@
     SubmissionBatcher batcher_;
     std::vector<core::MachineType> types_;
     std::unordered_map<std::string, TaskCounts> task_counts_;  // by job id, from the leader
+    std::size_t lookups_before_503_ = 0;  // in flight, see postpone_unless_known()
     std::uint64_t refusals_ = 0;
     Millis refusal_logged_at_;
 };
--- a/tests/known_job_test.cpp
+++ b/tests/known_job_test.cpp
@@ -222,6 +222,18 @@
     EXPECT_EQ(state_in(submit(node, body)), "pending");
 }
 
+// Guards against 503 for an accepted job by a controller that does not know the machine types yet,
+// which only new jobs need.
+TEST_F(KnownJob, RepeatWhileTheMachineTypesAreUnknownIsAnswered) {
+    complete(submission_body(kJobId, kSmallJobTypes));
+    simulation_.cloud_outage(60'000);
+    restart_all();
+    for (std::size_t node = 0; node < kNodes; ++node) {
+        EXPECT_EQ(state_in(submit(node, submission_body(kJobId, kSmallJobTypes))), "done");
+        EXPECT_EQ(submit(node, submission_body("job-000002", kSmallJobTypes)).status, 503);
+    }
+}
+
 // Guards against 422 for an accepted job that would not be accepted any more.
 TEST_F(KnownJob, RepeatThatFitsNoMachineTypeAnyMoreIsAnswered) {
     complete(submission_body(kJobId, kSmallJobTypes));
