Look a submission up before it gets 503 because too many are queued

What callers saw: a controller that has 300 new jobs queued answers the repeated submission of a finished job that it does not have in memory with 503, like a new job, for as long as the burst lasts.

Why it works: both refusals go through UserApi::postpone_unless_known; its bound of 50 lookups in flight keeps a flood of new jobs from turning into a flood of reads.

Tests: KnownJob.RepeatAtAFullQueueIsAnswered gets 503 before, "done" after; FloodOfNewJobsCausesALimitedNumberOfLookups counts the reads: none before, at most 50 after for 400 refused new jobs. x86-64.

--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -196,9 +196,9 @@
                                EnqueueError error) {
     switch (error) {
         case EnqueueError::TooManyDuplicates:
-            return refuse(respond, RefusalReason::TooManyDuplicates);
+            return postpone_unless_known(job_id, respond, RefusalReason::TooManyDuplicates);
         case EnqueueError::QueueFull:
-            return refuse(respond, RefusalReason::TooManySubmissions);
+            return postpone_unless_known(job_id, respond, RefusalReason::TooManySubmissions);
         case EnqueueError::TooLarge:
             return refuse_unless_known(job_id, respond, respond_too_large);
     }
--- a/tests/known_job_test.cpp
+++ b/tests/known_job_test.cpp
@@ -82,6 +82,19 @@
         pause(8000);
         ASSERT_TRUE(simulation_.leader());
     }
+    // Submits new jobs to one controller without waiting until it has queued as many as it may.
+    void fill_queue(std::size_t node) {
+        constexpr std::size_t kQueuedAndInFlight = 300 + 2 * kMaxTransactionOperations;
+        simulation_.delay_state_answers([](const std::string&, const net::HttpRequest& request) {
+            return request.target == "/txn" ? Millis{1000} : Millis{0};
+        });
+        for (std::size_t n = 0; n < kQueuedAndInFlight; ++n) {
+            const auto body = submission_body(numbered_job_id(1000 + n), kSmallJobTypes);
+            simulation_.send_counted(node, {"POST", "/v2/runs", body});
+        }
+        pause(10);
+    }
+
     Simulation simulation_;
     std::size_t terminal_state_reads_ = 0;
 };
@@ -244,6 +257,32 @@
         EXPECT_EQ(state_in(submit(node, body)), "done");
 }
 
+// Guards against 503 for an accepted job by a controller that has more new jobs queued than it may.
+TEST_F(KnownJob, RepeatAtAFullQueueIsAnswered) {
+    complete(submission_body(kJobId, kSmallJobTypes));
+    restart_all();
+    const auto node = follower();
+    fill_queue(node);
+    EXPECT_EQ(submit(node, submission_body("job-000002", kSmallJobTypes)).status, 503);
+    EXPECT_EQ(state_in(submit(node, submission_body(kJobId, kSmallJobTypes))), "done");
+}
+
+// The lookups of refused submissions are limited under overload.
+TEST_F(KnownJob, FloodOfNewJobsCausesALimitedNumberOfLookups) {
+    constexpr std::size_t kFlood = 400;
+    constexpr std::size_t kMaxLookups = 50;
+    const auto node = follower();
+    fill_queue(node);
+    terminal_state_reads_ = 0;
+    for (std::size_t n = 0; n < kFlood; ++n) {
+        const auto body = submission_body(numbered_job_id(5000 + n), kSmallJobTypes);
+        simulation_.send_counted(node, {"POST", "/v2/runs", body});
+    }
+    pause(100);
+    EXPECT_GT(terminal_state_reads_, 0U);
+    EXPECT_LE(terminal_state_reads_, kMaxLookups);
+}
+
 // A new job that fits is stored without any read of the state service.
 TEST_F(KnownJob, NewJobsCauseNoLookups) {
     terminal_state_reads_ = 0;
