Look a submission up before it gets 503 because its write was not answered

What callers saw: while the state service takes no writes from a controller (its rate is used up, or 429), the repeated submission of a finished job that the controller does not have in memory gets 503, like a new job.

The state service goes on answering reads.

During an outage that stays without a request: the copy is not refreshed while the service does not respond.

--- a/src/control/user_api.cpp
+++ b/src/control/user_api.cpp
@@ -171,9 +171,6 @@
 
 void UserApi::on_submission_result(const std::string& job_id, const net::Respond& respond,
                                    SubmissionResult result) {
-    const auto unavailable = [this](const net::Respond& responder) {
-        refuse(responder, RefusalReason::StateServiceUnavailable);
-    };
     // The job may have ended while the transaction's answer was under way.
     if (const auto state = job_watcher_.terminal_state(job_id)) {
         return respond_terminal(respond, job_id, *state);
@@ -184,11 +181,14 @@
         case SubmissionResult::Duplicate:
             return respond({http_status::kOk, wire::job_state_body(job_id, "pending")});
         case SubmissionResult::AlreadyKnown:
-            return poll(job_id, respond, unavailable);
+            return poll(job_id, respond, [this](const net::Respond& responder) {
+                refuse(responder, RefusalReason::StateServiceUnavailable);
+            });
         case SubmissionResult::TooLarge:
             return refuse_unless_known(job_id, respond, respond_too_large);
         case SubmissionResult::Unavailable:
-            return unavailable(respond);
+            // Only new jobs need a write.
+            return postpone_unless_known(job_id, respond, RefusalReason::StateServiceUnavailable);
     }
 }
 
--- a/tests/known_job_test.cpp
+++ b/tests/known_job_test.cpp
@@ -99,6 +99,17 @@
     std::size_t terminal_state_reads_ = 0;
 };
 
+class KnownJobWithoutWrites : public KnownJob {
+  protected:
+    KnownJobWithoutWrites()
+        : KnownJob([] {
+              auto options = options_with_limits(false);
+              options.next = {};
+              options.next.write_rps = 0;
+              return options;
+          }()) {}
+};
+
 class KnownJobUnannouncedLimits : public KnownJob {
   protected:
     KnownJobUnannouncedLimits() : KnownJob(options_with_limits(false)) {}
@@ -267,6 +278,18 @@
     EXPECT_EQ(state_in(submit(node, submission_body(kJobId, kSmallJobTypes))), "done");
 }
 
+// Guards against 503 for an accepted job while the state service takes no writes, which only new
+// jobs need.
+TEST_F(KnownJobWithoutWrites, RepeatIsAnswered) {
+    complete(submission_body(kJobId, kSmallJobTypes));
+    restart_all();
+    simulation_.apply_next_limits();
+    for (std::size_t node = 0; node < kNodes; ++node) {
+        EXPECT_EQ(state_in(submit(node, submission_body(kJobId, kSmallJobTypes))), "done");
+        EXPECT_EQ(submit(node, submission_body("job-000002", kSmallJobTypes)).status, 503);
+    }
+}
+
 // The lookups of refused submissions are limited under overload.
 TEST_F(KnownJob, FloodOfNewJobsCausesALimitedNumberOfLookups) {
     constexpr std::size_t kFlood = 400;
