Handle a forwarded request here if the leader does not answer it

What callers saw: a follower that the state service refuses forwards requests to the leader. If that does not answer, or 100 requests are forwarded already, the user got 503, also for a job that the follower knows to be over.

Cause: UserRequestForwarder answered 503 by itself in these cases, before UserApi had looked at the cached ends of jobs, which never change.

Why it works: such a request goes to this controller's own UserApi. It answers for a job that it knows to have ended, and otherwise with 503 at once as long as the state service does not respond; requests may be repeated, so one that the leader has carried out without an answer does no harm.

Test: KnownJob.ForwardedRepeatWithoutAnAnswerIsAnsweredFromMemory gets 503 before, "done" after. x86-64.

--- a/src/control/user_request_forwarder.cpp
+++ b/src/control/user_request_forwarder.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "wire/peer_messages.h"
-#include "wire/user_messages.h"
 
 namespace lichendrift::control {
 
@@ -12,12 +11,6 @@
 
 constexpr int kMaxRequestsInFlight = 100;
 constexpr Millis kForwardDeadlineMs = 1800;
-constexpr int kRetryAfterS = 1;
-
-net::HttpResponse store_unavailable() {
-    return {net::http_status::kUnavailable, wire::error_body("the state service does not answer"),
-            kRetryAfterS};
-}
 
 }  // namespace
 
@@ -32,18 +25,19 @@
 void UserRequestForwarder::forward(const net::HttpRequest& request, net::Respond respond) {
     const auto* leader = peers_.find(election_.observed().member);
     if (leader == nullptr || requests_in_flight_ >= kMaxRequestsInFlight) {
-        return respond(store_unavailable());
+        return users_.handle(request, std::move(respond));
     }
     ++requests_in_flight_;
     peers_.call(*leader, peer_path::kUserRequest,
                 wire::encode_forwarded_request({request.method, request.target, request.body}),
                 kForwardDeadlineMs,
-                [this, respond = std::move(respond)](const net::HttpReply& reply) {
+                [this, request, respond = std::move(respond)](const net::HttpReply& reply) {
                     --requests_in_flight_;
                     const auto answer = reply.status == net::http_status::kOk
                                             ? wire::decode_forwarded_answer(reply.body)
                                             : std::nullopt;
-                    if (!answer) return respond(store_unavailable());
+                    // This controller may know that the job has ended, which never changes.
+                    if (!answer) return users_.handle(request, respond);
                     respond({answer->status, answer->body, answer->retry_after_s});
                 });
 }
--- a/src/control/user_request_forwarder.h
+++ b/src/control/user_request_forwarder.h
@@ -20,7 +20,9 @@
 
     /// Whether users' requests should be forwarded now instead of being handled here.
     [[nodiscard]] bool should_forward() const;
-    /// Forwards a request to the leader; responds with 503 if the leader does not answer.
+    /// Forwards a request to the leader. If the leader does not answer, this controller handles it:
+    /// it responds with the state of a job that it knows to have ended, and otherwise with 503
+    /// unless the state service answers again.
     void forward(const net::HttpRequest& request, net::Respond respond);
     /// Handles a user's request that a peer forwards to this controller.
     void on_forwarded_request(const std::string& body, net::Respond respond);
--- a/tests/known_job_test.cpp
+++ b/tests/known_job_test.cpp
@@ -170,6 +170,21 @@
     EXPECT_EQ(submit_large(node, "job-000002"), "400");
 }
 
+// Guards against 503 for an accepted job by a follower that knows of its end and forwards the
+// repeat to a leader that does not answer.
+TEST_F(KnownJob, ForwardedRepeatWithoutAnAnswerIsAnsweredFromMemory) {
+    complete(submission_body(kJobId, kSmallJobTypes));
+    const auto node = follower();
+    const auto poll = simulation_.send_and_wait(node, {"GET", "/v2/runs/" + kJobId, ""});
+    ASSERT_EQ(state_in(poll), "done");
+    simulation_.refuse_state_requests(node, 30'000);
+    pause(6000);
+    ASSERT_EQ(submit(node, submission_body("job-000003", kSmallJobTypes)).status, 201);
+    simulation_.partition(node_name(node), node_name(leader()), 20'000, false);
+    EXPECT_EQ(state_in(submit(node, submission_body(kJobId, kSmallJobTypes))), "done");
+    EXPECT_EQ(submit(node, submission_body("job-000002", kSmallJobTypes)).status, 503);
+}
+
 // The same for a repeat that shares its transaction with new jobs.
 TEST_F(KnownJob, RepeatInABatchWithNewJobsAboveTheLoweredLimitIsAnswered) {
     complete(submission_body(kJobId, kLargeJobTypes));
