--- a/src/net/http_parsers.h
+++ b/src/net/http_parsers.h
@@ -21,7 +21,7 @@
     Incomplete,  ///< more bytes are needed
     Complete,    ///< `RequestParser::take_request` has a request
     TooLarge,    ///< the body exceeds the limit
-    Upgrade,     ///< the client asks to switch to another protocol
+    Upgrade,     ///< the client asks for a tunnel (CONNECT)
     Malformed,   ///< not valid HTTP, or the target or headers are too long
 };
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -90,6 +90,27 @@
     int port_ = 0;
 };
 
+// Guards against 400 for any request, also about a known job, of a client that offers to switch to
+// another protocol. The offer is ignored, and the connection serves further requests.
+TEST_F(NetTest, OfferToUpgradeIsIgnored) {
+    std::string body;
+    serve(400, [&](const HttpRequest& request, const Respond& respond) {
+        body = request.body;
+        respond({200, "{}"});
+    });
+    const auto fd = connect();
+    send(fd,
+         "POST /v2/runs HTTP/1.1\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+         "HTTP2-Settings: AAMAAABkAAQAAP__\r\nContent-Length: 2\r\n\r\n{}");
+    EXPECT_EQ(received_status(fd), "HTTP/1.1 200");
+    EXPECT_EQ(body, "{}");
+    send(fd, kHealthRequest);
+    EXPECT_EQ(received_status(fd), "HTTP/1.1 200");
+    // A tunnel cannot be ignored.
+    send(fd, "CONNECT example.test:80 HTTP/1.1\r\n\r\n");
+    EXPECT_EQ(received_status(fd), "HTTP/1.1 400");
+}
+
 // Guards against heartbeats that wait behind user requests when all clients reconnect at the same
 // time. Leases depend on heartbeats, so these are handled first, whatever the order of arrival, and
 // every request still gets a response.
