Test late copies of executed run commands after controllers and machines have come back

The issue asks whether a copy of a start command, executed and answered before, can start a task again when a controller or a machine has come back within a second, also for a task that was moved or cancelled meanwhile.

--- a/tests/simulation/simulation.cpp
+++ b/tests/simulation/simulation.cpp
@@ -331,7 +331,7 @@
         repeat(from, to, request, 1000 + static_cast<Millis>(random_below(90'000)));
     }
     if (record_direct_commands_ && request.target == "/do")
-        recorded_direct_commands_.emplace_back(to, request);
+        recorded_direct_commands_.push_back({now_, to, request});
     const auto reset = [finish] { finish({0, "", true}); };
     transmit(
         from, host, extra,
@@ -441,8 +441,15 @@
     });
 }
 
-void Simulation::replay_direct_commands() {
-    for (const auto& [to, request] : recorded_direct_commands_) repeat("n0", to, request, 1);
+void Simulation::replay_direct_commands(Millis min_age) {
+    for (const auto& [sent_at, to, request] : recorded_direct_commands_) {
+        if (now_ - sent_at < min_age) continue;
+        at(now_ + 1, [this, to = to, request = request, sent = now_] {
+            const auto before = total_starts();
+            serve("n0", to, request, sent, [](const net::HttpResponse&) {});
+            starts_by_copies_ += total_starts() - before;
+        });
+    }
 }
 
 void Simulation::send_counted(std::size_t node, net::HttpRequest request) {
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -105,6 +105,7 @@
     std::uint64_t session = 1;
     std::uint64_t seq = 0;
     std::uint64_t token = 0;
+    std::uint64_t agent_restarts = 0;
     Millis last_acknowledged_sent_at = 0;
     bool in_flight = false;
     std::size_t node = 0;
@@ -155,6 +156,9 @@
     std::function<void(std::size_t node, const net::HttpRequest&, net::Respond)> external;
     // Returns the address of a machine; if unset, it is derived from the machine's name.
     std::function<std::string(const std::string& machine)> endpoint;
+    // Off: workers execute direct commands with a lower token, or of another session, as well.
+    bool workers_check_tokens = true;
+    bool workers_check_sessions = true;
     bool cloud_checks_epochs = false;  // the cloud refuses requests with a superseded epoch
     std::vector<core::Team> teams;
 };
@@ -244,9 +248,19 @@
     // Partitions a controller from the state service and from its peers, but not from workers.
     void isolate(std::size_t node, Millis for_ms, bool delay, bool refuse = false);
     // Records every command sent directly to a worker from now on, so that
-    // replay_direct_commands() can deliver it a second time.
+    // replay_direct_commands() can deliver those that were sent at least `min_age` ago a second
+    // time.
     void record_direct_commands() { record_direct_commands_ = true; }
-    void replay_direct_commands();
+    void replay_direct_commands(Millis min_age = 0);
+    // Tasks started so far by commands that replay_direct_commands() delivered.
+    [[nodiscard]] std::uint64_t starts_by_copies() const { return starts_by_copies_; }
+    // What the agent of a machine knows after a restart in which its tasks are lost.
+    enum class AgentMemory : std::uint8_t {
+        Kept,  // session, token and the number of its last report
+        Lost,  // nothing: it begins as on a new machine
+    };
+    // Restarts the agent of a machine within the current event.
+    void restart_agent(Worker& worker, AgentMemory memory);
     [[nodiscard]] std::uint64_t total_starts() const;
     [[nodiscard]] std::size_t node_count() const { return nodes_.size(); }
     [[nodiscard]] bool node_up(std::size_t node) const {
@@ -445,7 +459,13 @@
     std::size_t writes_ = 0;
     std::size_t direct_calls_ = 0;
     bool record_direct_commands_ = false;
-    std::vector<std::pair<std::string, net::HttpRequest>> recorded_direct_commands_;
+    std::uint64_t starts_by_copies_ = 0;
+    struct DirectCommand {
+        Millis sent_at = 0;
+        std::string to;
+        net::HttpRequest request;
+    };
+    std::vector<DirectCommand> recorded_direct_commands_;
     std::size_t counted_replies_ = 0;
     std::uint64_t compacted_revision_ = 0;
     double late_writes_share_ = 0;
--- a/tests/simulation/workers.cpp
+++ b/tests/simulation/workers.cpp
@@ -159,11 +159,13 @@
     if (request.target == "/show") return respond({200, report(worker)});
     const auto doc = parsed(request.body);
     if (!doc.HasMember("delega") || !doc.HasMember("turno")) return respond({400, "{}"});
-    if (doc["delega"].GetUint64() < worker.token || doc["turno"].GetUint64() != worker.session) {
-        return respond({409, report(worker)});
-    }
-    if (doc["delega"].GetUint64() > worker.token) worker.changed = true;
-    worker.token = doc["delega"].GetUint64();
+    const auto token = doc["delega"].GetUint64();
+    const bool superseded = options_.workers_check_tokens && token < worker.token;
+    const bool other_session =
+        options_.workers_check_sessions && doc["turno"].GetUint64() != worker.session;
+    if (superseded || other_session) return respond({409, report(worker)});
+    if (token > worker.token) worker.changed = true;
+    worker.token = std::max(worker.token, token);
     execute_commands(worker, request.body, sent);
     respond({200, report(worker)});
 }
@@ -199,9 +201,9 @@
         return;
     }
     call(name, node_name(worker.node) + ":1", {"POST", "/agent/beat", body}, 4000,
-         [this, name, sent, session](const net::HttpReply& got) {
+         [this, name, sent, session, restarts = worker.agent_restarts](const net::HttpReply& got) {
              Worker& w = workers_.at(name);
-             if (w.gone) return;
+             if (w.gone || w.agent_restarts != restarts) return;
              auto reply = got;
              if (w.inbound_blocked_until > now_) reply = {0, "", true};
              const auto handle_reply = [this, name, sent, session, reply,
@@ -237,6 +239,22 @@
          });
 }
 
+void Simulation::restart_agent(Worker& worker, AgentMemory memory) {
+    for (const auto& task : worker.tasks) {
+        if (task.state == "running" || task.state == "saving") save_progress(task, false);
+    }
+    worker.tasks.clear();
+    worker.deferred.clear();
+    worker.in_flight = false;
+    worker.changed = true;
+    worker.last_acknowledged_sent_at = now_;
+    ++worker.agent_restarts;
+    if (memory == AgentMemory::Kept) return;
+    worker.session = 1;
+    worker.seq = 0;
+    worker.token = 0;
+}
+
 void Simulation::worker_tick(Worker& worker) {
     if (worker.gone) return;
     if (worker.interrupted_at >= 0 && now_ >= worker.interrupted_at) return lose_worker(worker);
