--- a/src/net/http_parsers.cpp
+++ b/src/net/http_parsers.cpp
@@ -75,8 +75,8 @@
 
 int RequestParser::on_headers_complete(http_parser* parser) {
     auto& request_parser = self(parser);
-    // A server may ignore the offer to switch to another protocol (RFC 9110, 7.8). Some clients make
-    // it with every request.
+    // A server may ignore the offer to switch to another protocol (RFC 9110, 7.8). Some clients
+    // make it with every request.
     if (parser->method != HTTP_CONNECT) parser->upgrade = 0;
     const bool has_length = parser->content_length != ULLONG_MAX;
     if (!has_length || parser->content_length <= request_parser.max_body_bytes_) return 0;
