Keep an attempt that its worker has lost until late copies of its run are refused

What could be seen: a task on two machines. An agent restarts within its session and has lost its tasks; its next report shows them absent, they count as off the machine and start elsewhere; a late copy of the old direct run, executed and answered long ago, carries the worker's session and token and starts them there once more.

Cause: reconcile_absent released an attempt that had been seen alive as soon as a report with the term's token lacked it.

Why it works: such an attempt is kept until a report carries a higher token than its direct run; the token is raised when the absence is seen, so the next answer carries it.

--- a/src/core/heartbeats.cpp
+++ b/src/core/heartbeats.cpp
@@ -206,6 +206,14 @@
     }
 }
 
+// "When a task is off a machine", copies: whether a late duplicate of the attempt's direct run,
+// even of one that was answered, would start it on a worker that no longer knows it and reports
+// this token.
+bool Cluster::copy_may_start(const Allocation& allocation, std::uint64_t reported_token) const {
+    return settings_.guards.lost_attempts_await_token && allocation.direct_token != 0 &&
+           reported_token <= allocation.direct_token;
+}
+
 // "When a task is off a machine" (1): an attempt that is absent from a trusted report is gone,
 // unless a run that was sent for it is unconfirmed and may still be executed.
 void Cluster::reconcile_absent(Reconciliation& context, AllocationIndex index) {
@@ -234,6 +242,10 @@
                 (!context.is_heartbeat || seq <= allocation.heartbeat_seq)) {
                 return;
             }
+            if (copy_may_start(allocation, context.report.token)) {
+                (void)raise_token(machines_[context.machine]);
+                return;
+            }
             release(index, true, context.now);
             break;
     }
--- a/src/core/safety_guards.h
+++ b/src/core/safety_guards.h
@@ -26,6 +26,10 @@
     /// machine directly, so that the worker refuses late duplicates of these runs once it has
     /// forgotten the attempt.
     bool reap_raises_token = true;
+    /// An attempt that a worker has lost without a reap or a new session stays allocated until the
+    /// worker reports a higher token than that of the attempt's direct run, so that it refuses late
+    /// duplicates of this run.
+    bool lost_attempts_await_token = true;
     /// A job that ends during a failover is kept until all placement records that may name its
     /// tasks are read.
     bool keep_ended_jobs_until_records_loaded = true;
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -168,6 +168,36 @@
     return std::string(param.param ? "ByCancellation" : "ByPreemption");
 });
 
+// Guards against a task on two machines: a worker that restarts in its session has lost the
+// attempt, and would start it again by a late duplicate of the direct run, which was executed and
+// answered.
+TEST_F(ClusterTest, AttemptLostByItsWorkerIsKeptUntilDuplicatesOfItsRunAreRefused) {
+    constexpr std::uint64_t kToken = 3;
+    heartbeat("host-1", 1, 1000);
+    JobDescription job;
+    job.id = "job-000001";
+    job.team = "core";
+    job.cpus = 1;
+    start_recorded(job, {0});
+    const auto direct = cluster_.direct_commands("host-1", true, 1300);
+    ASSERT_EQ(direct.commands.size(), 1U);
+    ASSERT_EQ(direct.token, kToken);
+    cluster_.direct_result(direct, Cluster::DirectResult::Executed, 1310);
+    TaskReport task;
+    task.job = job.id;
+    task.attempt = direct.commands[0].attempt;
+    task.phase = TaskPhase::Running;
+    heartbeat("host-1", 2, 1400, kToken, {task});
+    // The worker has restarted, and still reports the token under which the run was sent.
+    heartbeat("host-1", 3, 2000, kToken);
+    EXPECT_EQ(cluster_.snapshot(2000, 0).allocations.size(), 1U);
+    EXPECT_TRUE(cluster_.snapshot(2000, 0).waiting_jobs.empty());
+    EXPECT_EQ(cluster_.token_for("host-1"), kToken + 1);
+    heartbeat("host-1", 4, 2500, kToken + 1);
+    EXPECT_TRUE(cluster_.snapshot(2500, 0).allocations.empty());
+    EXPECT_EQ(cluster_.snapshot(2500, 0).waiting_jobs.size(), 1U);
+}
+
 // An array whose tasks failed on two faulty machines backed off as if the job itself were at fault.
 // The backoff of one second doubled with each failed task, so the array repeatedly waited for a
 // minute although machines were free.
