Send a halt with a higher token than the runs before it

What could be seen: a task on two machines. A replica is halted by a direct command, whose response shows it exited, so it starts elsewhere within 50 ms. The agent of its machine restarts, within its session and without its tasks, before the next answer to a heartbeat; a late copy of the old run has the worker's session and token and starts it again.

Cause: the token rose only with the reap, one heartbeat after the exit that frees the task. In between only the worker's memory of the attempt refused copies.

Why it works: a message that halts or reaps a task carries a higher token than all runs sent directly to that machine, so the worker refuses copies before the attempt has ended. It is one token in place of the one of the reap that follows, and no message more. A direct message with runs alone raises nothing. The raise for unconfirmed runs that are to be stopped is part of it now.

Tests: Comebacks/LateCopiesOfRuns with restarts of the agent, alone and with the leader. LateCopiesWithoutAGuard shows each of the two guards missing.

--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -289,6 +289,7 @@
     [[nodiscard]] JobFacts facts(const Job& job) const;
     [[nodiscard]] FleetFacts fleet_facts() const;
     [[nodiscard]] bool raise_token(Machine& machine) const;
+    [[nodiscard]] bool ends_attempts(const Machine& machine, const CommandMessage& message) const;
     [[nodiscard]] bool copy_may_start(const Allocation& allocation,
                                       std::uint64_t reported_token) const;
     void on_command_effect(MachineIndex index);
--- a/src/core/commands.cpp
+++ b/src/core/commands.cpp
@@ -28,18 +28,36 @@
 
 }  // namespace
 
+// "When a task is off a machine", copies: a message that halts or reaps a task carries a higher
+// token than the runs that were sent to the machine directly before. So the worker refuses late
+// duplicates of these runs before their attempts end.
 std::vector<Command> Cluster::commands_for(MachineIndex index, const CommandMessage& message) {
     std::vector<Command> out;
-    append_reaps(machines_[index], message, out);
-    for (const auto allocation_index : machines_[index].allocations) {
+    Machine& machine = machines_[index];
+    const bool duplicates_refused = !ends_attempts(machine, message) || raise_token(machine);
+    if (duplicates_refused) append_reaps(machine, message, out);
+    for (const auto allocation_index : machine.allocations) {
         if (out.size() >= kMaxCommands) break;
         append_command(allocations_[allocation_index], message, out);
     }
     return out;
 }
 
-// "When a task is off a machine", copies: an attempt is only reaped in the answer to a heartbeat,
-// with a token under which the worker refuses late duplicates of the attempt's run.
+// Whether the message will halt or reap a task.
+bool Cluster::ends_attempts(const Machine& machine, const CommandMessage& message) const {
+    const auto to_reap = tasks_to_reap_.find(machine.name);
+    const bool ends_reported =
+        to_reap != tasks_to_reap_.end() &&
+        std::any_of(to_reap->second.begin(), to_reap->second.end(), [&](const TaskReport& task) {
+            return !message.direct || task.phase != TaskPhase::Exited;
+        });
+    if (ends_reported || !settings_.guards.halt_raises_token) return ends_reported;
+    return std::any_of(machine.allocations.begin(), machine.allocations.end(),
+                       [&](AllocationIndex index) { return allocations_[index].stop_requested; });
+}
+
+// An attempt is only reaped in the answer to a heartbeat, with a token under which the worker
+// refuses late duplicates of the attempt's run.
 void Cluster::append_reaps(Machine& machine, const CommandMessage& message,
                            std::vector<Command>& out) {
     if (!machine.synced) return;
@@ -51,9 +69,7 @@
             out.push_back({Command::Kind::Halt, task.job, task.task, task.attempt, 0});
             continue;
         }
-        // The token is raised if any run was sent directly to this machine, not only this
-        // attempt's: one raise covers all of them.
-        if (message.direct || !raise_token(machine) || awaits_durable_result(task)) continue;
+        if (message.direct || awaits_durable_result(task)) continue;
         out.push_back({Command::Kind::Reap, task.job, task.task, task.attempt, 0});
     }
     if (!message.direct) tasks_to_reap_.erase(it);
@@ -75,12 +91,6 @@
     if (allocation.session != machine.session) return;
     const Job& job = jobs_.at(allocation.job);
     if (allocation.stop_requested && !is_unsent(allocation)) {
-        // The attempt is to be halted, but its direct run is unconfirmed and may still arrive: with
-        // a higher token the worker will refuse it.
-        if (allocation.state == Allocation::State::Sent && allocation.direct_unconfirmed &&
-            !message.direct) {
-            (void)raise_token(machine);
-        }
         out.push_back(
             {Command::Kind::Halt, job.id, allocation.task, allocation.attempt, allocation.grace_s});
         if (!message.direct) allocation.halt_seq = message.heartbeat_seq;
@@ -156,10 +166,10 @@
     direct.machine = name;
     direct.endpoint = machine.endpoint;
     direct.session = machine.session;
-    direct.token = machine.token;
     if (direct.endpoint.empty()) return direct;
     machine.direct_in_flight = true;
     direct.commands = commands_for(it->second, {true, 0, may_start, now});
+    direct.token = machine.token;
     return direct;
 }
 
@@ -168,10 +178,10 @@
     return it == machine_ids_.end() ? settings_.token : machines_[it->second].token;
 }
 
-// "When a task is off a machine", copies. After a reap the worker no longer knows the attempt, and
-// a late duplicate of its run, even of one that was answered, would start it again. So an answer to
-// a heartbeat that reaps carries a higher token than the runs that were sent there directly, and
-// the worker refuses duplicates of these from then on. Returns false if the term has no token left.
+// "When a task is off a machine", copies. Once the worker no longer knows the attempt, a late
+// duplicate of its run, even of one that was answered, would start it again. The next message to
+// the machine carries a higher token than the runs that were sent there directly, and the worker
+// refuses duplicates of these from then on. Returns false if the term has no token left.
 bool Cluster::raise_token(Machine& machine) const {
     if (!machine.direct_run_sent || !settings_.guards.reap_raises_token) return true;
     if (machine.token + 1 >= settings_.token + kFencingTokensPerTerm) return false;
--- a/src/core/safety_guards.h
+++ b/src/core/safety_guards.h
@@ -26,6 +26,9 @@
     /// machine directly, so that the worker refuses late duplicates of these runs once it has
     /// forgotten the attempt.
     bool reap_raises_token = true;
+    /// The same for a message that halts a task, so that the worker refuses the duplicates before
+    /// it may lose the attempt in a restart.
+    bool halt_raises_token = true;
     /// An attempt that a worker has lost without a reap or a new session stays allocated until the
     /// worker reports a higher token than that of the attempt's direct run, so that it refuses late
     /// duplicates of this run.
--- a/tests/late_copies_test.cpp
+++ b/tests/late_copies_test.cpp
@@ -43,6 +43,8 @@
     MachineAfterItsLease,
     AgentInItsSession,
     AgentWithoutMemory,
+    LeaderAndAgentInItsSession,
+    LeaderAndAgentWithoutMemory,
 };
 
 // When it goes away, relative to the end of the attempts.
@@ -140,6 +142,12 @@
                 return simulation_.restart_agent(*worker, Simulation::AgentMemory::Kept);
             case Comeback::AgentWithoutMemory:
                 return simulation_.restart_agent(*worker, Simulation::AgentMemory::Lost);
+            case Comeback::LeaderAndAgentInItsSession:
+                simulation_.crash(*leader, 200);
+                return simulation_.restart_agent(*worker, Simulation::AgentMemory::Kept);
+            case Comeback::LeaderAndAgentWithoutMemory:
+                simulation_.crash(*leader, 200);
+                return simulation_.restart_agent(*worker, Simulation::AgentMemory::Lost);
         }
     }
     void deliver_copies() {
@@ -221,14 +229,19 @@
 }
 INSTANTIATE_TEST_SUITE_P(
     Comebacks, LateCopiesOfRuns,
-    ::testing::Values(ComebackCase{"Nothing", Comeback::Nothing},
-                      ComebackCase{"LeaderAtOnce", Comeback::LeaderAtOnce},
-                      ComebackCase{"AllControllersAtOnce", Comeback::AllControllersAtOnce},
-                      ComebackCase{"AnotherLeader", Comeback::AnotherLeader},
-                      ComebackCase{"LeaderAndAnotherDuringTheElection",
-                                   Comeback::LeaderAndAnotherDuringTheElection},
-                      ComebackCase{"MachineWithinItsLease", Comeback::MachineWithinItsLease},
-                      ComebackCase{"MachineAfterItsLease", Comeback::MachineAfterItsLease}),
+    ::testing::Values(
+        ComebackCase{"Nothing", Comeback::Nothing},
+        ComebackCase{"LeaderAtOnce", Comeback::LeaderAtOnce},
+        ComebackCase{"AllControllersAtOnce", Comeback::AllControllersAtOnce},
+        ComebackCase{"AnotherLeader", Comeback::AnotherLeader},
+        ComebackCase{"LeaderAndAnotherDuringTheElection",
+                     Comeback::LeaderAndAnotherDuringTheElection},
+        ComebackCase{"MachineWithinItsLease", Comeback::MachineWithinItsLease},
+        ComebackCase{"MachineAfterItsLease", Comeback::MachineAfterItsLease},
+        ComebackCase{"AgentInItsSession", Comeback::AgentInItsSession, true},
+        ComebackCase{"AgentWithoutMemory", Comeback::AgentWithoutMemory, true},
+        ComebackCase{"LeaderAndAgentInItsSession", Comeback::LeaderAndAgentInItsSession, true},
+        ComebackCase{"LeaderAndAgentWithoutMemory", Comeback::LeaderAndAgentWithoutMemory, true}),
     [](const auto& param) { return std::string(param.param.name); });
 
 // A guard without which copies start tasks after some orders of events with this comeback.
@@ -236,6 +249,7 @@
     const char* name;
     Comeback comeback;
     void (*remove_guard)(Options&);
+    bool copies_may_start = false;
 };
 
 // Prints the name of the case in lists of tests instead of its bytes.
@@ -246,12 +260,17 @@
 TEST_P(LateCopiesWithoutAGuard, AreDetected) {
     auto options = options_for_copies(kFirstSeed);
     GetParam().remove_guard(options);
-    EXPECT_FALSE(broken_orders(GetParam().comeback, options, false).empty());
+    const auto& test_case = GetParam();
+    EXPECT_FALSE(broken_orders(test_case.comeback, options, test_case.copies_may_start).empty());
 }
 
 void let_reaps_keep_the_token(Options& options) { options.guards.reap_raises_token = false; }
 void let_workers_accept_any_token(Options& options) { options.workers_check_tokens = false; }
 void let_workers_accept_any_session(Options& options) { options.workers_check_sessions = false; }
+void let_halts_keep_the_token(Options& options) { options.guards.halt_raises_token = false; }
+void release_lost_attempts_at_once(Options& options) {
+    options.guards.lost_attempts_await_token = false;
+}
 
 INSTANTIATE_TEST_SUITE_P(
     Comebacks, LateCopiesWithoutAGuard,
@@ -271,7 +290,14 @@
                          Comeback::LeaderAndAnotherDuringTheElection, let_workers_accept_any_token},
         // In a later session of the worker its session does.
         MissingGuardCase{"MachineAfterItsLeaseAndAnySession", Comeback::MachineAfterItsLease,
-                         let_workers_accept_any_session}),
+                         let_workers_accept_any_session},
+        // An agent that restarts may lose an attempt without a reap and without a new session.
+        MissingGuardCase{"AgentInItsSessionAndNoHigherTokenWithHalts", Comeback::AgentInItsSession,
+                         let_halts_keep_the_token, true},
+        MissingGuardCase{"AgentWithoutMemoryAndNoHigherTokenWithHalts",
+                         Comeback::AgentWithoutMemory, let_halts_keep_the_token, true},
+        MissingGuardCase{"AgentInItsSessionAndLostAttemptsReleased", Comeback::AgentInItsSession,
+                         release_lost_attempts_at_once, true}),
     [](const auto& param) { return std::string(param.param.name); });
 
 }  // namespace
